--- a/brain/example_test.go
+++ b/brain/example_test.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"time"
 
-	"vetchward.example/vetchward/brain"
+	"violetspan.example/violetspan/brain"
 )
 
 // A proxy makes one controller, tells it what happens and does what it says.
--- a/cmd/wirehost/main.go
+++ b/cmd/wirehost/main.go
@@ -1,4 +1,4 @@
-// Command wirehost runs vetchward controllers on the bench's wire: events on
+// Command wirehost runs violetspan controllers on the bench's wire: events on
 // standard input, actions on standard output.
 package main
 
@@ -6,7 +6,7 @@
 	"fmt"
 	"os"
 
-	"vetchward.example/vetchward/internal/wire"
+	"violetspan.example/violetspan/internal/wire"
 )
 
 func main() {
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -7,7 +7,7 @@
 	"strings"
 	"time"
 
-	"vetchward.example/vetchward/brain"
+	"violetspan.example/violetspan/brain"
 )
 
 // params are the start-up settings by path; the first bad one is kept.
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -14,7 +14,7 @@
 	"strings"
 	"time"
 
-	"vetchward.example/vetchward/brain"
+	"violetspan.example/violetspan/brain"
 )
 
 // Decider is what hosts an instance's decisions.
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -8,7 +8,7 @@
 	"testing"
 	"time"
 
-	"vetchward.example/vetchward/brain"
+	"violetspan.example/violetspan/brain"
 )
 
 const launch = "LAUNCH proxy-0 77 extra.skilledPools.count=2 extra.skilledPools.0=0,4 extra.skilledPools.1=3 classes.count=2 classes.0.deadlineMs=9000.0 classes.0.goalTimeMs=1500.0 " +
