--- /dev/null
+++ b/internal/config/config.go
@@ -0,0 +1,267 @@
+// Package config is the one place where the program's configuration is read,
+// checked and given defaults. Every error names the key at fault.
+package config
+
+import (
+	"errors"
+	"fmt"
+	"math"
+	"net"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	jsoniter "github.com/json-iterator/go"
+
+	"violetspan.example/violetspan/brain"
+)
+
+// Platform is what the platform tells a signalling proxy at its start.
+type Platform struct {
+	Name     string
+	Listen   string
+	Seed     uint64
+	Sockets  int
+	MemoryMB int
+	Channel  string // address of the command channel
+	Known    []byte // its events up to the start, in the channel's own form
+	Settings Settings
+}
+
+// Settings are the module's settings and what the fronts need of them.
+type Settings struct {
+	Brain       brain.Settings
+	Classes     map[string]int // places in Brain.Classes
+	DialTimeout time.Duration
+	OpenCap     int
+}
+
+// Limits that a configuration can't go beyond.
+const (
+	maxClasses = 1000
+	minSockets = 64
+	maxFile    = 8 << 20
+)
+
+// FromEnv reads the configuration that ROUTER_CONFIG names. ROUTER_NAME and
+// ROUTER_LISTEN, where they are set, must agree with it.
+func FromEnv(env func(string) string) (*Platform, error) {
+	path := env("ROUTER_CONFIG")
+	if path == "" {
+		return nil, errors.New("ROUTER_CONFIG: not set")
+	}
+	st, err := os.Stat(path)
+	if err != nil {
+		return nil, fmt.Errorf("ROUTER_CONFIG: %w", err)
+	}
+	if st.Size() > maxFile {
+		return nil, fmt.Errorf("ROUTER_CONFIG: %d bytes, more than %d", st.Size(), maxFile)
+	}
+	b, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("ROUTER_CONFIG: %w", err)
+	}
+	p, err := Parse(b)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	for _, v := range []struct{ name, got, want string }{
+		{"ROUTER_NAME", env("ROUTER_NAME"), p.Name}, {"ROUTER_LISTEN", env("ROUTER_LISTEN"), p.Listen}} {
+		if v.got != "" && v.got != v.want {
+			return nil, fmt.Errorf("%s: %q, but the configuration says %q", v.name, v.got, v.want)
+		}
+	}
+	return p, nil
+}
+
+// Parse reads a platform configuration.
+func Parse(b []byte) (*Platform, error) {
+	r, err := open(b)
+	if err != nil {
+		return nil, err
+	}
+	p := &Platform{
+		Name:     r.text("name", ""),
+		Listen:   r.address("listen"),
+		Channel:  r.address("channel"),
+		Sockets:  r.whole("limits.sockets", 1024, minSockets, 1<<24),
+		MemoryMB: r.whole("limits.memory_mb", 192, 16, 1<<24),
+		Settings: r.settings("settings."),
+	}
+	if seed := r.text("seed", "0"); r.err == nil {
+		if p.Seed, err = strconv.ParseUint(seed, 16, 64); err != nil {
+			r.fail("seed", fmt.Sprintf("%q is not a hexadecimal number", seed))
+		}
+	}
+	known := r.at("known")
+	if known.ValueType() != jsoniter.ObjectValue {
+		r.fail("known", "an object is wanted")
+	} else {
+		p.Known = []byte(known.ToString())
+	}
+	return p, r.err
+}
+
+// ParseSettings reads the settings alone, as a service's file holds them.
+func ParseSettings(b []byte, prefix string) (Settings, error) {
+	r, err := open(b)
+	if err != nil {
+		return Settings{}, err
+	}
+	s := r.settings(prefix)
+	return s, r.err
+}
+
+// reader looks values up by their dotted keys and keeps the first error.
+type reader struct {
+	root jsoniter.Any
+	err  error
+}
+
+func open(b []byte) (*reader, error) {
+	if !jsoniter.Valid(b) {
+		return nil, errors.New("not valid JSON")
+	}
+	return &reader{root: jsoniter.Get(b)}, nil
+}
+
+func (r *reader) fail(key, why string) {
+	if r.err == nil {
+		r.err = fmt.Errorf("key %s: %s", key, why)
+	}
+}
+
+func (r *reader) at(key string) jsoniter.Any {
+	var path []any
+	for part := range strings.SplitSeq(key, ".") {
+		if n, err := strconv.Atoi(part); err == nil {
+			path = append(path, n)
+		} else {
+			path = append(path, part)
+		}
+	}
+	return r.root.Get(path...)
+}
+
+// missing says whether a key has no value.
+func missing(v jsoniter.Any) bool {
+	return v.ValueType() == jsoniter.InvalidValue || v.ValueType() == jsoniter.NilValue
+}
+
+func (r *reader) text(key, def string) string {
+	v := r.at(key)
+	switch {
+	case missing(v):
+		return def
+	case v.ValueType() != jsoniter.StringValue:
+		r.fail(key, "a text is wanted")
+	}
+	return v.ToString()
+}
+
+func (r *reader) address(key string) string {
+	v := r.text(key, "")
+	if v == "" {
+		r.fail(key, "missing")
+	} else if _, _, err := net.SplitHostPort(v); err != nil {
+		r.fail(key, fmt.Sprintf("%q is not an address with a port", v))
+	}
+	return v
+}
+
+func (r *reader) num(key string, def, least, most float64) float64 {
+	v := r.at(key)
+	if missing(v) {
+		return def
+	}
+	if v.ValueType() != jsoniter.NumberValue {
+		r.fail(key, "a number is wanted")
+		return def
+	}
+	x := v.ToFloat64()
+	if math.IsNaN(x) || x < least || x > most {
+		r.fail(key, fmt.Sprintf("%v is not from %v to %v", x, least, most))
+	}
+	return x
+}
+
+func (r *reader) whole(key string, def, least, most int) int {
+	x := r.num(key, float64(def), float64(least), float64(most))
+	if x != math.Trunc(x) {
+		r.fail(key, fmt.Sprintf("%v is not a whole number", x))
+	}
+	return int(x)
+}
+
+const longestMs = 30 * 24 * 3600 * 1000
+
+func (r *reader) ms(key string, def float64) time.Duration {
+	return time.Duration(r.num(key, def, 0, longestMs) * float64(time.Millisecond))
+}
+
+func (r *reader) yes(key string) bool {
+	v := r.at(key)
+	if missing(v) {
+		return false
+	}
+	if v.ValueType() != jsoniter.BoolValue {
+		r.fail(key, "true or false is wanted")
+	}
+	return v.ToBool()
+}
+
+// settings reads the module's settings; keys that nothing here needs are skipped.
+func (r *reader) settings(at string) Settings {
+	const most = math.MaxInt32
+	s := Settings{
+		Brain: brain.Settings{
+			Here:          r.whole(at+"extra.here", -1, -1, most),
+			Fleet:         r.whole(at+"fleetSize", 1, 1, most),
+			Pools:         r.text(at+"extra.topology", "meshed") == "groups",
+			MaxAttempts:   r.whole(at+"limits.mostTries", 1, 1, most),
+			Release:       r.ms(at+"extra.releaseMs", 500),
+			Resend:        r.ms(at+"extra.resendMs", 0),
+			ColdRamp:      r.ms(at+"rules.rampTimeMs", 0),
+			ColdShare:     r.num(at+"rules.coldShare", 0, 0, 1),
+			FallMultiple:  r.num(at+"rules.fallMultiple", 1, 0, most),
+			FallWindow:    r.ms(at+"rules.overloadForMs", 0),
+			AnswerSlack:   r.ms(at+"rules.answerSlackMs", 0),
+			CancelAllowed: r.yes(at + "limits.cancel"),
+			RedialsMarked: r.yes(at + "clients.marksRetry"),
+		},
+		Classes:     map[string]int{},
+		DialTimeout: r.ms(at+"limits.dialTimeoutMs", 500),
+		OpenCap:     r.whole(at+"limits.openCap", 8192, 1, most),
+	}
+	n := r.at(at + "classes").Size()
+	if n < 1 || n > maxClasses {
+		r.fail(at+"classes", "a list of one class or more is wanted")
+		n = 0
+	}
+	for i := range n {
+		key := at + "classes." + strconv.Itoa(i) + "."
+		k := brain.Class{
+			Goal: r.ms(key+"goalTimeMs", 0), Deadline: r.ms(key+"deadlineMs", 0), Worth: r.num(key+"worth", 1, 0, most),
+			Width: r.whole(at+"extra.widths."+strconv.Itoa(i), 1, 1, most),
+			Hold:  r.ms(at+"extra.classHoldMs."+strconv.Itoa(i), 0),
+		}
+		pools := at + "extra.skilledPools." + strconv.Itoa(i)
+		for j := range r.at(pools).Size() {
+			k.Pools = append(k.Pools, r.whole(pools+"."+strconv.Itoa(j), 0, 0, most))
+		}
+		if k.Goal <= 0 {
+			r.fail(key+"goalTimeMs", "a time above 0 is wanted")
+		}
+		if k.Deadline <= 0 {
+			r.fail(key+"deadlineMs", "a time above 0 is wanted")
+		}
+		name := r.text(key+"name", "")
+		if _, twice := s.Classes[name]; twice || name == "" {
+			r.fail(key+"name", fmt.Sprintf("%q is empty or stands twice", name))
+		}
+		s.Classes[name] = i
+		s.Brain.Classes = append(s.Brain.Classes, k)
+	}
+	return s
+}
--- /dev/null
+++ b/internal/core/call.go
@@ -0,0 +1,271 @@
+package core
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"violetspan.example/violetspan/brain"
+)
+
+// call is one call from its set-up to its end.
+type call struct {
+	*SetUp
+	name   string // its id, as the module knows it
+	caller Caller
+	ctx    context.Context // ends when the caller leaves
+	leave  context.CancelFunc
+	todo   chan brain.Action // what the module wants done
+	news   chan reply        // what its switch said
+
+	// Under the core's lock:
+	out      string // the switch that a set-up is out at, or that it stands through
+	host     string // the last switch that a set-up was for
+	answered bool   // that switch answered
+	paid     bool   // the final answer was given
+
+	// The goroutine's own:
+	sends    int
+	restTill time.Time // no send before
+}
+
+// reply is what a switch said of a call.
+type reply struct {
+	answer      bool
+	description []byte
+	end         End
+}
+
+func newCall(c *Core, s *SetUp, from Caller) *call {
+	k := &call{SetUp: s, name: fmt.Sprintf("%016x", s.ID), caller: from,
+		todo: make(chan brain.Action, 8), news: make(chan reply, 4)}
+	k.ctx, k.leave = context.WithCancel(c.ctx)
+	return k
+}
+
+// push never blocks: a switch that repeats itself loses the repeats.
+func (k *call) push(r reply) bool {
+	select {
+	case k.news <- r:
+		return true
+	default:
+		return false
+	}
+}
+
+// serve is the life of one call. It asks the module at each point of choice
+// and gives the caller exactly one final answer.
+func (c *Core) serve(k *call) {
+	defer c.drop(k)
+	defer k.leave()
+
+	// The module hears of the call. Its answer must leave before the caller gives
+	// up, so the module is told a somewhat earlier time.
+	owed := time.NewTimer(time.Until(k.Deadline.Add(-guardMargin)))
+	defer owed.Stop()
+	c.tell(brain.Offered{Call: k.name, Class: k.Class, Number: k.Number, Dest: k.Dest, Width: k.Width,
+		Expires: c.clock(k.Deadline.Add(-answerMargin)), Transit: k.Transit, Cut: k.Again})
+
+	for {
+		// What the module wants next: a send now, or after a hold or a rest; or
+		// the final answer.
+		var send brain.Send
+		select {
+		case a := <-k.todo:
+			switch a := a.(type) {
+			case brain.Refuse:
+				k.caller.Refuse(k.ID)
+				return
+			case brain.Fail:
+				k.caller.Fail(k.ID)
+				return
+			case brain.Send:
+				send = a
+			default:
+				continue // a cancel that crossed its attempt's end
+			}
+		case <-k.ctx.Done():
+			c.tell(brain.Withdrawn{Call: k.name})
+			return
+		case <-owed.C:
+			// Guards against a call that the module forgot: its caller gets an answer.
+			c.log.Error("no decision before the caller gives up", "call", k.name)
+			c.tell(brain.Withdrawn{Call: k.name})
+			k.caller.Fail(k.ID)
+			return
+		}
+
+		// The attempt, and how it came out.
+		sent := time.Now()
+		l, err := c.setUp(k, send)
+		r, how := reply{}, byModule
+		if err == nil {
+			r, how = c.await(k, sent.Add(send.Timeout))
+		} else if k.ctx.Err() != nil {
+			how = byCaller
+		}
+		switch {
+		case how == byCaller:
+			if err == nil {
+				l.GiveUp(k.ID)
+			}
+			c.tell(brain.Withdrawn{Call: k.name})
+			c.settle(k, send, sent, End{Result: brain.Cancelled}, true)
+			return
+		case errors.Is(err, ErrNotReached):
+			c.settle(k, send, sent, End{Result: brain.NotReached}, false)
+		case errors.Is(err, ErrNotSent):
+			c.settle(k, send, sent, End{Result: brain.Unused}, false)
+		case err != nil:
+			c.settle(k, send, sent, End{Result: brain.Reset}, false)
+		case how == byClock:
+			l.GiveUp(k.ID)
+			c.settle(k, send, sent, End{Result: brain.TimedOut}, false)
+		case how == byModule:
+			l.GiveUp(k.ID)
+			c.settle(k, send, sent, End{Result: brain.Cancelled}, false)
+		case !r.answer:
+			if r.end.Result == brain.Ended {
+				r.end.Result = brain.Error // released without an answer
+			}
+			c.settle(k, send, sent, r.end, false)
+		default:
+			c.tell(brain.Stood{Call: k.name, Attempt: k.sends - 1, Delay: time.Since(sent)})
+			if err := k.caller.Answer(k.ID, r.description); err != nil {
+				l.Release(k.ID)
+				c.settle(k, send, sent, End{Result: brain.Cancelled}, true)
+				return
+			}
+			c.paid(k)
+
+			// The call stands until its switch ends it or its caller hangs up.
+			select {
+			case r := <-k.news:
+				c.settle(k, send, sent, r.end, true)
+				k.caller.Release(k.ID, r.end.Result != brain.Ended)
+			case <-k.ctx.Done():
+				if c.ctx.Err() == nil && !c.isClosed() {
+					l.Release(k.ID)
+				}
+				c.settle(k, send, sent, End{Result: brain.Cancelled}, true)
+			}
+			return
+		}
+	}
+}
+
+// Who ended the wait for a switch.
+type ender int
+
+const (
+	bySwitch ender = iota
+	byCaller
+	byClock
+	byModule
+)
+
+// await waits for what a switch says of a set-up, but no longer than the
+// caller stays, the time allowed for it and the module's patience.
+func (c *Core) await(k *call, until time.Time) (reply, ender) {
+	limit := time.NewTimer(time.Until(until))
+	defer limit.Stop()
+	var how ender
+wait:
+	for {
+		select {
+		case r := <-k.news:
+			return r, bySwitch
+		case <-limit.C:
+			how = byClock
+			break wait
+		case <-k.ctx.Done():
+			how = byCaller
+			break wait
+		case a := <-k.todo:
+			if x, ok := a.(brain.Cancel); ok {
+				if x.Attempt != k.sends-1 {
+					continue
+				}
+				how = byModule
+				break wait
+			}
+			c.log.Error("an action while a set-up is out", "call", k.name, "action", fmt.Sprintf("%T", a))
+		}
+	}
+	// From here on an answer is late. One that came a moment ago still counts,
+	// unless nobody waits for it.
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	k.out = ""
+	select {
+	case r := <-k.news:
+		if how != byCaller {
+			k.out = k.host
+			return r, bySwitch
+		}
+	default:
+	}
+	return reply{}, how
+}
+
+var (
+	errBroken = errors.New("a rule would be broken")
+	errRest   = fmt.Errorf("%w: the call rests after its last attempt", errBroken)
+	errSends  = fmt.Errorf("%w: no attempt is left", errBroken)
+	errRoute  = fmt.Errorf("%w: a call in transit goes to its destination only", errBroken)
+	errOwn    = fmt.Errorf("%w: a call never goes to the own exchange", errBroken)
+)
+
+// setUp sends a set-up as the module wants it, or says why it was not sent.
+// This is the last place where the rules are kept: whatever the module says, a
+// call rests for as long as it must, and nothing new goes to a switch that
+// drains or is gone by the list at the moment of the first byte.
+func (c *Core) setUp(k *call, send brain.Send) (Link, error) {
+	c.mu.Lock()
+	m := c.members[send.Host]
+	var err error
+	switch {
+	case m == nil || m.State != brain.Ready:
+		err = ErrNotSent
+	case time.Now().Before(k.restTill):
+		err = errRest
+	case k.sends >= c.opt.Settings.MaxAttempts:
+		err = errSends
+	case k.Transit && m.Number != k.Dest:
+		err = errRoute
+	case !c.opt.Settings.Pools && m.Number == c.opt.Settings.Here:
+		err = errOwn
+	}
+	k.sends++ // the module counts this one, whatever becomes of it
+	if err == nil {
+		k.out, k.host, k.answered = send.Host, send.Host, false
+		for len(k.news) > 0 {
+			<-k.news // of an earlier attempt that had ended already
+		}
+	}
+	c.mu.Unlock()
+	if err != nil {
+		c.log.Warn("set-up held back", "call", k.name, "switch", send.Host, "why", err)
+		return nil, ErrNotSent
+	}
+	until := time.Now().Add(send.Timeout)
+	ctx, cancel := context.WithDeadline(k.ctx, until)
+	defer cancel()
+	err = m.link.SetUp(ctx, k.SetUp, until, func() bool { return ctx.Err() == nil && c.ready(send.Host) })
+	return m.link, err
+}
+
+// settle tells the module how an attempt ended.
+func (c *Core) settle(k *call, send brain.Send, sent time.Time, e End, over bool) {
+	now := time.Now()
+	switch e.Result {
+	case brain.TimedOut, brain.Reset, brain.Cancelled:
+		k.restTill = now.Add(c.opt.Settings.Release)
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	k.out = ""
+	c.tellLocked(brain.Settled{Call: k.name, Attempt: k.sends - 1, Host: send.Host, Result: e.Result, Cause: e.Cause,
+		Over: over, Delay: now.Sub(sent), Report: brain.NoReport})
+}
--- /dev/null
+++ b/internal/core/core.go
@@ -0,0 +1,475 @@
+// Package core runs calls by the decisions of package brain. It knows no wire:
+// callers and switches are interfaces that the fronts fill.
+//
+// One Core owns one Controller, which is not safe for concurrent use, behind
+// one lock. Events go in as they arrive; the actions that come back are handed
+// to the goroutine of the call they name. Each call has one goroutine, which
+// runs Core.serve from its set-up to its end.
+package core
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"violetspan.example/violetspan/brain"
+)
+
+// SetUp is a call as its caller asked for it.
+type SetUp struct {
+	ID          uint64
+	Class       int // place in the settings
+	ClassName   string
+	Tenant      string
+	Number      string
+	Description []byte // passed on unchanged
+	Dest        int
+	Width       int
+	Transit     bool
+	Again       bool      // it stood, was cut, and comes again
+	Deadline    time.Time // when its caller gives up
+}
+
+// Caller is where a call came from. Its methods may block for no longer than a
+// write deadline; each is called by the call's own goroutine.
+type Caller interface {
+	// Answer says that the call stands. An error means the caller can't know it.
+	Answer(id uint64, description []byte) error
+	Refuse(id uint64)
+	Fail(id uint64)
+	// Release says that a call that stood is over.
+	Release(id uint64, cut bool)
+}
+
+// Link is the way to one listed switch.
+type Link interface {
+	// SetUp writes a set-up. It asks mayGo just before the first byte, and waits
+	// for a connection no longer than the context allows. Its error is one of
+	// ErrNotReached and ErrNotSent where the set-up surely never arrived.
+	SetUp(ctx context.Context, s *SetUp, until time.Time, mayGo func() bool) error
+	GiveUp(id uint64)
+	Release(id uint64)
+	Close()
+}
+
+// Errors of a Link's SetUp.
+var (
+	ErrNotReached = errors.New("switch not reached")
+	ErrNotSent    = errors.New("set-up not sent")
+)
+
+// Member is a switch on the list. Its id is its identity: another switch may
+// take the address later.
+type Member struct {
+	ID      string
+	Addr    string
+	Number  int
+	Started time.Time // zero: long ago
+	State   brain.State
+}
+
+// End says how a set-up or a standing call ended at its switch.
+type End struct {
+	Result brain.Result
+	Cause  brain.Cause
+}
+
+// Options are what a Core is made of.
+type Options struct {
+	Settings brain.Settings
+	Seed     uint64
+	Log      *slog.Logger
+	// Open makes the link to a member. It must not block.
+	Open func(m Member) (Link, error)
+	// Orphan is told of the end of a call that is not known here: it stood
+	// through this proxy before its restart, and its caller must hear of it.
+	Orphan   func(id uint64, cut bool)
+	MaxCalls int
+}
+
+// Times that are the core's own.
+const (
+	answerMargin = 40 * time.Millisecond // an answer leaves so long before its caller gives up
+	guardMargin  = 15 * time.Millisecond // ... and the core gives one itself so long before
+	cutLinger    = 1500 * time.Millisecond
+	endedMemory  = 30 * time.Second
+	maxEnded     = 1 << 15
+	epoch        = 24 * time.Hour // the module's clock at the start: switches may be older
+)
+
+// Core runs calls. Make one with New.
+type Core struct {
+	opt   Options
+	log   *slog.Logger
+	start time.Time
+	ctx   context.Context
+	group *errgroup.Group
+
+	mu      sync.Mutex // guards all below
+	brain   *brain.Controller
+	calls   map[uint64]*call
+	names   map[string]*call // the same calls, as the module names them
+	members map[string]*member
+	ended   map[uint64]time.Time // calls that were answered and are over
+	swept   time.Time
+	owed    int           // calls that wait for their final answer
+	changed chan struct{} // closed when owed or len(calls) falls
+	closed  bool
+}
+
+type member struct {
+	Member
+	link Link
+}
+
+// New makes a core that runs until the context ends.
+func New(ctx context.Context, opt Options) (*Core, error) {
+	b, err := brain.New(opt.Settings, opt.Seed)
+	if err != nil {
+		return nil, err
+	}
+	if opt.Log == nil {
+		opt.Log = slog.New(slog.DiscardHandler)
+	}
+	if opt.MaxCalls <= 0 {
+		opt.MaxCalls = 8192
+	}
+	g, ctx := errgroup.WithContext(ctx)
+	return &Core{opt: opt, log: opt.Log, start: time.Now(), ctx: ctx, group: g, brain: b,
+		calls: map[uint64]*call{}, names: map[string]*call{}, members: map[string]*member{},
+		ended: map[uint64]time.Time{}, changed: make(chan struct{})}, nil
+}
+
+// clock turns a time into the module's.
+func (c *Core) clock(t time.Time) time.Duration { return epoch + t.Sub(c.start) }
+
+// tell hands the module an event and its actions to those they are for.
+func (c *Core) tell(ev brain.Event) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.tellLocked(ev)
+}
+
+func (c *Core) tellLocked(ev brain.Event) {
+	for _, a := range c.brain.Handle(c.clock(time.Now()), ev) {
+		switch a := a.(type) {
+		case brain.Send:
+			c.hand(a.Call, a)
+		case brain.Refuse:
+			c.hand(a.Call, a)
+		case brain.Fail:
+			c.hand(a.Call, a)
+		case brain.Cancel:
+			c.hand(a.Call, a)
+		case brain.Wake:
+			time.AfterFunc(a.After, func() {
+				c.mu.Lock()
+				defer c.mu.Unlock()
+				if !c.closed {
+					c.tellLocked(brain.Woken{})
+				}
+			})
+		case brain.Log:
+			c.log.Info("module", "text", a.Text)
+		}
+	}
+}
+
+func (c *Core) hand(name string, a brain.Action) {
+	k := c.names[name]
+	if k == nil {
+		return
+	}
+	select {
+	case k.todo <- a:
+	default:
+		// A call gets at most a send, a cancel and an answer between two events of
+		// its own; more is a fault of the module.
+		c.log.Error("too many actions for a call", "call", name, "action", fmt.Sprintf("%T", a))
+	}
+}
+
+// List takes the whole list of switches or changes to it.
+func (c *Core) List(full bool, ms []Member) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	ev := brain.Listed{Full: full}
+	present := map[string]bool{}
+	for _, m := range ms {
+		present[m.ID] = true
+		c.setMember(m)
+		e := brain.Entry{Host: m.ID, Number: m.Number, State: m.State}
+		if !m.Started.IsZero() {
+			e.Started = max(0, c.clock(m.Started))
+		}
+		ev.Entries = append(ev.Entries, e)
+	}
+	if full {
+		for id, m := range c.members {
+			if !present[id] {
+				m.State = brain.Gone
+				c.retire(m)
+			}
+		}
+	}
+	c.tellLocked(ev)
+}
+
+func (c *Core) setMember(m Member) {
+	old := c.members[m.ID]
+	if m.State == brain.Gone {
+		if old != nil {
+			old.State = brain.Gone
+			c.retire(old)
+		}
+		return
+	}
+	if old != nil && old.Addr == m.Addr && old.Started.Equal(m.Started) {
+		old.Member = m
+		return
+	}
+	if old != nil {
+		if !old.Started.Equal(m.Started) {
+			// It was started anew: what stood through it before is cut.
+			c.cutAll(m.ID)
+		}
+		if old.Addr == m.Addr {
+			old.Member = m
+			return
+		}
+		old.link.Close()
+	}
+	l, err := c.opt.Open(m)
+	if err != nil {
+		c.log.Error("a listed switch can't be used", "switch", m.ID, "addr", m.Addr, "error", err)
+		delete(c.members, m.ID)
+		return
+	}
+	c.members[m.ID] = &member{Member: m, link: l}
+}
+
+// retire drops a switch that has left. Its releases may still be on their way,
+// so the link stays for a moment; what stands then is cut.
+func (c *Core) retire(m *member) {
+	delete(c.members, m.ID)
+	time.AfterFunc(cutLinger, func() {
+		c.mu.Lock()
+		back := c.members[m.ID]
+		if back == nil {
+			c.cutAll(m.ID)
+		}
+		c.mu.Unlock()
+		m.link.Close()
+	})
+}
+
+// Offer takes a call. It fails if the call is known already or there is no
+// room; the caller is then owed its answer by the front.
+func (c *Core) Offer(s *SetUp, from Caller) error {
+	k := newCall(c, s, from)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed || len(c.calls) >= c.opt.MaxCalls {
+		k.leave()
+		return ErrBusy
+	}
+	if c.calls[s.ID] != nil {
+		k.leave()
+		return ErrKnown
+	}
+	c.calls[s.ID], c.names[k.name] = k, k
+	delete(c.ended, s.ID)
+	c.owed++
+	c.group.Go(func() error {
+		c.serve(k)
+		return nil
+	})
+	return nil
+}
+
+// Errors of Offer.
+var (
+	ErrBusy  = errors.New("no room for another call")
+	ErrKnown = errors.New("the call is known already")
+)
+
+// Leave tells that the caller has given its call up or hung up.
+func (c *Core) Leave(id uint64) {
+	c.mu.Lock()
+	k := c.calls[id]
+	_, over := c.ended[id]
+	var links []Link
+	if k == nil && !over {
+		// It may have stood since before a restart: its switch is not known then.
+		for _, m := range c.members {
+			links = append(links, m.link)
+		}
+	}
+	c.mu.Unlock()
+	if k != nil {
+		k.leave()
+	}
+	for _, l := range links {
+		l.Release(id)
+	}
+}
+
+// Answered tells that a switch answered. It is false if no set-up of the call
+// is out there: a late answer, which the link must release.
+func (c *Core) Answered(host string, id uint64, description []byte) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	k := c.calls[id]
+	if k == nil || k.out != host || k.answered {
+		return false
+	}
+	k.answered = true
+	return k.push(reply{answer: true, description: description})
+}
+
+// Ended tells that a set-up or a standing call has ended at a switch.
+func (c *Core) Ended(host string, id uint64, e End) {
+	c.mu.Lock()
+	k := c.calls[id]
+	_, over := c.ended[id]
+	known := k != nil || over
+	if k != nil && k.out == host {
+		k.push(reply{end: e})
+	}
+	c.mu.Unlock()
+	if !known && c.opt.Orphan != nil && (e.Result == brain.Ended || e.Result == brain.Reset) {
+		c.opt.Orphan(id, e.Result == brain.Reset)
+	}
+}
+
+// Group tells the free circuits and the size of the group toward a switch.
+func (c *Core) Group(host string, free, size int) {
+	r := brain.NoReport
+	r.Free, r.Size = free, size
+	c.tell(brain.Probed{Host: host, Report: r})
+}
+
+// Dead tells that a switch's process is gone: what stood there was cut.
+func (c *Core) Dead(host string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.cutAll(host)
+}
+
+func (c *Core) cutAll(host string) {
+	n := 0
+	for _, k := range c.calls {
+		if k.out == host && k.answered {
+			k.push(reply{end: End{Result: brain.Reset}})
+			n++
+		}
+	}
+	if n > 0 {
+		c.log.Warn("standing calls cut with their switch", "switch", host, "calls", n)
+	}
+}
+
+// ready says whether a switch takes new set-ups by the list as it is now.
+func (c *Core) ready(host string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	m := c.members[host]
+	return m != nil && m.State == brain.Ready
+}
+
+// Counts returns how many calls wait for an answer and how many stand.
+func (c *Core) Counts() (owed, standing int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.owed, len(c.calls) - c.owed
+}
+
+// Settle waits until no call waits for its answer, and with standing set, until
+// none stands either.
+func (c *Core) Settle(ctx context.Context, standing bool) error {
+	for {
+		c.mu.Lock()
+		done, ch := c.owed == 0 && !(standing && len(c.calls) > 0), c.changed
+		c.mu.Unlock()
+		if done {
+			return nil
+		}
+		select {
+		case <-ch:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+// Close ends the core: its links close and its calls' goroutines return.
+func (c *Core) Close() error {
+	c.mu.Lock()
+	c.closed = true
+	for _, k := range c.calls {
+		k.leave()
+	}
+	c.mu.Unlock()
+	err := c.group.Wait()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for id, m := range c.members {
+		m.link.Close()
+		delete(c.members, id)
+	}
+	return err
+}
+
+func (c *Core) isClosed() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.closed
+}
+
+// paid notes that a call's final answer was given.
+func (c *Core) paid(k *call) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.paidLocked(k)
+}
+
+func (c *Core) paidLocked(k *call) {
+	if !k.paid {
+		k.paid = true
+		c.owed--
+		c.wake()
+	}
+}
+
+func (c *Core) wake() {
+	close(c.changed)
+	c.changed = make(chan struct{})
+}
+
+// drop forgets a call that is over, but for its id: what its switch still
+// sends is no news to its caller.
+func (c *Core) drop(k *call) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.paidLocked(k)
+	delete(c.calls, k.ID)
+	delete(c.names, k.name)
+	now := time.Now()
+	if now.Sub(c.swept) > endedMemory/4 || len(c.ended) >= maxEnded {
+		c.swept = now
+		for id, t := range c.ended {
+			if now.Sub(t) > endedMemory {
+				delete(c.ended, id)
+			}
+		}
+	}
+	if len(c.ended) < maxEnded {
+		c.ended[k.ID] = now
+	}
+	c.wake()
+}
--- /dev/null
+++ b/internal/platform/front.go
@@ -0,0 +1,298 @@
+package platform
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"strconv"
+	"sync"
+	"time"
+
+	"violetspan.example/violetspan/internal/core"
+	"violetspan.example/violetspan/internal/sig"
+)
+
+// Calls is the core, as a front of callers sees it.
+type Calls interface {
+	Offer(s *core.SetUp, from core.Caller) error
+	Leave(id uint64)
+}
+
+const (
+	callerWrite = time.Second
+	maxParked   = 4096
+	parkFor     = 8 * time.Second
+)
+
+// Front takes calls from callers' connections.
+type Front struct {
+	Calls    Calls
+	Classes  map[string]int // places of the classes
+	MaxConns int
+	Log      *slog.Logger
+
+	mu     sync.Mutex
+	conns  map[*conn]bool
+	parked []parked // releases that no connection could take yet
+	wg     sync.WaitGroup
+}
+
+type parked struct {
+	id   uint64
+	cut  bool
+	till time.Time
+}
+
+// conn is one connection from callers.
+type conn struct {
+	front *Front
+	net.Conn
+	mu   sync.Mutex      // one message at a time
+	open map[uint64]bool // set-ups taken here and not answered; under front.mu
+}
+
+// Serve accepts connections until the listener closes.
+func (f *Front) Serve(ln net.Listener) error {
+	for {
+		nc, err := ln.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return nil
+		}
+		if err != nil {
+			// Most likely out of descriptors: the ones in use come back.
+			f.Log.Warn("accept failed", "error", err)
+			time.Sleep(10 * time.Millisecond)
+			continue
+		}
+		c := &conn{front: f, Conn: nc, open: map[uint64]bool{}}
+		if !f.add(c) {
+			f.Log.Warn("too many connections from callers", "limit", f.MaxConns)
+			nc.Close()
+			continue
+		}
+		f.wg.Go(c.read)
+		f.unpark()
+	}
+}
+
+func (f *Front) add(c *conn) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.conns == nil {
+		f.conns = map[*conn]bool{}
+	}
+	if len(f.conns) >= f.MaxConns {
+		return false
+	}
+	f.conns[c] = true
+	return true
+}
+
+// Close closes every connection and waits for their readers.
+func (f *Front) Close() {
+	f.mu.Lock()
+	for c := range f.conns {
+		c.Close()
+	}
+	f.mu.Unlock()
+	f.wg.Wait()
+}
+
+// read takes in messages until the connection ends; the set-ups still open on
+// it are given up then.
+func (c *conn) read() {
+	f := c.front
+	in := bufio.NewReaderSize(c, readBuffer)
+	var err error
+	for err == nil {
+		var m sig.Message
+		if m, err = sig.Read(in); err == nil {
+			c.take(&m, time.Now())
+		}
+	}
+	if !errors.Is(err, io.EOF) && !errors.Is(err, net.ErrClosed) {
+		f.Log.Warn("connection from a caller broke", "addr", c.RemoteAddr(), "error", err)
+	}
+	c.Close()
+	f.mu.Lock()
+	delete(f.conns, c)
+	open := c.open
+	c.open = map[uint64]bool{}
+	f.mu.Unlock()
+	for id := range open {
+		f.Calls.Leave(id)
+	}
+}
+
+// take acts on one message of a caller, read whole at the given time.
+func (c *conn) take(m *sig.Message, at time.Time) {
+	f := c.front
+	switch m.Type {
+	case sig.SetUp:
+		s, err := f.setUp(m, at)
+		if err == nil {
+			f.mu.Lock()
+			c.open[s.ID] = true
+			f.mu.Unlock()
+			err = f.Calls.Offer(s, c)
+		}
+		switch {
+		case errors.Is(err, core.ErrKnown):
+			// Its first copy is answered where it came in.
+			f.Log.Warn("set-up of a known call", "call", callName(m.Call))
+		case errors.Is(err, core.ErrBusy):
+			c.Refuse(m.Call)
+		case err != nil:
+			f.Log.Warn("set-up that can't be read", "call", callName(m.Call), "error", err)
+			c.answer(m.Call, sig.WithCause(sig.Release, m.Call, sig.CauseContents))
+		}
+	case sig.Release:
+		f.mu.Lock()
+		delete(c.open, m.Call)
+		f.mu.Unlock()
+		f.Calls.Leave(m.Call)
+		_ = c.send(&sig.Message{Type: sig.Heard, Call: m.Call})
+	case sig.Test:
+		passed := sig.WithCause(sig.Tested, m.Call, 1)
+		_ = c.send(&passed)
+	}
+}
+
+// setUp reads a set-up. Parameters and figures that it does not know are skipped.
+func (f *Front) setUp(m *sig.Message, at time.Time) (*core.SetUp, error) {
+	s := &core.SetUp{ID: m.Call, Dest: -1, Width: 1, ClassName: string(m.Get(sig.ParamClass)),
+		Tenant: string(m.Get(sig.ParamTenant)), Number: string(m.Get(sig.ParamNumber)),
+		Description: m.Get(sig.ParamDescription)}
+	var ok bool
+	if s.Class, ok = f.Classes[s.ClassName]; !ok {
+		return nil, fmt.Errorf("class %q is not known", s.ClassName)
+	}
+	wait, err := strconv.ParseFloat(string(m.Get(sig.ParamWait)), 64)
+	if err != nil || wait < 0 || wait > 1e9 {
+		return nil, fmt.Errorf("a wait of %q", m.Get(sig.ParamWait))
+	}
+	s.Deadline = at.Add(time.Duration(wait * float64(time.Millisecond)))
+	for name, v := range sig.Figures(m.Get(sig.ParamFigures)) {
+		var n int
+		switch name {
+		case "dest", "width", "transit", "again":
+			if n, err = strconv.Atoi(v); err != nil {
+				return nil, fmt.Errorf("figure %s of %q", name, v)
+			}
+		}
+		switch name {
+		case "dest":
+			s.Dest = n
+		case "width":
+			s.Width = n
+		case "transit":
+			s.Transit = n != 0
+		case "again":
+			s.Again = n != 0
+		}
+	}
+	if s.Dest < 0 {
+		return nil, errors.New("no destination")
+	}
+	return s, nil
+}
+
+// Answer implements core.Caller, as do Refuse, Fail and Release.
+func (c *conn) Answer(id uint64, description []byte) error {
+	return c.answer(id, sig.Message{Type: sig.Answer, Call: id,
+		Params: []sig.Param{{Code: sig.ParamDescription, Value: description}}})
+}
+
+// Refuse turns a call away.
+func (c *conn) Refuse(id uint64) {
+	_ = c.answer(id, sig.WithCause(sig.Release, id, sig.CauseCongestion))
+}
+
+// Fail says that a call failed.
+func (c *conn) Fail(id uint64) { _ = c.answer(id, sig.WithCause(sig.Release, id, sig.CauseTemporary)) }
+
+// Release says that a call that stood is over, on any connection from callers.
+func (c *conn) Release(id uint64, cut bool) {
+	m := releaseOf(id, cut)
+	if c.send(&m) != nil {
+		c.front.Orphan(id, cut)
+	}
+}
+
+func releaseOf(id uint64, cut bool) sig.Message {
+	cause := sig.CauseNormal
+	if cut {
+		cause = sig.CauseTemporary
+	}
+	return sig.WithCause(sig.Release, id, cause)
+}
+
+// Orphan passes on the release of a call whose own connection is gone. It waits
+// for a new connection if there is none.
+func (f *Front) Orphan(id uint64, cut bool) {
+	m := releaseOf(id, cut)
+	f.mu.Lock()
+	conns := make([]*conn, 0, len(f.conns))
+	for c := range f.conns {
+		conns = append(conns, c)
+	}
+	f.mu.Unlock()
+	for _, c := range conns {
+		if c.send(&m) == nil {
+			return
+		}
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if len(f.parked) < maxParked {
+		f.parked = append(f.parked, parked{id, cut, time.Now().Add(parkFor)})
+	}
+}
+
+// unpark sends the releases that waited for a connection.
+func (f *Front) unpark() {
+	f.mu.Lock()
+	held := f.parked
+	f.parked = nil
+	f.mu.Unlock()
+	for _, p := range held {
+		if time.Now().Before(p.till) {
+			f.Orphan(p.id, p.cut)
+		}
+	}
+}
+
+// answer gives a set-up its final answer.
+func (c *conn) answer(id uint64, m sig.Message) error {
+	c.front.mu.Lock()
+	delete(c.open, id)
+	c.front.mu.Unlock()
+	return c.send(&m)
+}
+
+// send writes one message whole, or closes the connection.
+func (c *conn) send(m *sig.Message) error {
+	b, err := m.Append(nil)
+	if err != nil {
+		return err
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if err = c.SetWriteDeadline(time.Now().Add(callerWrite)); err == nil {
+		_, err = c.Write(b)
+	}
+	if err != nil {
+		c.Close()
+	}
+	return err
+}
+
+// Listen opens the callers' listener.
+func Listen(ctx context.Context, addr string) (net.Listener, error) {
+	var lc net.ListenConfig
+	return lc.Listen(ctx, "tcp", addr)
+}
