--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -347,10 +347,8 @@
 	}
 }
 
-// Group tells the free circuits and the size of the group toward a switch.
-func (c *Core) Group(host string, free, size int) {
-	r := brain.NoReport
-	r.Free, r.Size = free, size
+// Group tells the state of the group toward a switch.
+func (c *Core) Group(host string, r brain.Report) {
 	c.tell(brain.Probed{Host: host, Report: r})
 }
 
--- a/internal/platform/link.go
+++ b/internal/platform/link.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"math"
 	"net"
 	"strconv"
 	"sync"
@@ -31,7 +32,7 @@
 type Up interface {
 	Answered(host string, id uint64, description []byte) bool
 	Ended(host string, id uint64, e core.End)
-	Group(host string, free, size int)
+	Group(host string, r brain.Report)
 	Dead(host string)
 }
 
@@ -189,12 +190,12 @@
 		heard := sig.Message{Type: sig.Heard, Call: m.Call}
 		_ = l.write(l.current(), &heard, nil) // a lost one is sent again by the switch
 	case sig.Group:
-		free, size, err := groupState(m)
+		r, err := groupState(m)
 		if err != nil {
 			l.log.Warn("group state skipped", "error", err)
 			return
 		}
-		l.up.Group(l.member.ID, free, size)
+		l.up.Group(l.member.ID, r)
 	case sig.Test:
 		passed := sig.WithCause(sig.Tested, m.Call, 1)
 		_ = l.write(l.current(), &passed, nil)
@@ -317,7 +318,34 @@
 	"end_queue_long": brain.CauseBeyond,
 }
 
-// groupState reads the free circuits and the size of a group.
-func groupState(m *sig.Message) (free, size int, err error) {
-	return 0, 0, fmt.Errorf("parameters %v", m.Params)
+// groupState reads a group's free circuits and size, and what else a switch
+// tells of itself, by the names that the settings use for report columns.
+func groupState(m *sig.Message) (brain.Report, error) {
+	r := brain.NoReport
+	for name, v := range sig.Figures(m.Get(sig.ParamReport)) {
+		x, err := strconv.ParseFloat(v, 64)
+		if err != nil || math.IsNaN(x) || math.Abs(x) > math.MaxInt32 {
+			return r, fmt.Errorf("figure %s of %q", name, v)
+		}
+		if x < 0 {
+			continue // not known
+		}
+		switch name {
+		case "spare":
+			r.Free = int(x)
+		case "total":
+			r.Size = int(x)
+		case "mean_ms":
+			r.Wait = time.Duration(x * float64(time.Millisecond))
+		case "depth":
+			r.Queue = x
+		case "load_share":
+			r.Util = x
+		case "allowed":
+			r.Rate = x
+		case "cut_by":
+			r.HoldBack = x
+		}
+	}
+	return r, nil
 }
--- a/internal/sig/sig.go
+++ b/internal/sig/sig.go
@@ -33,6 +33,7 @@
 	ParamNumber      byte = 192
 	ParamFigures     byte = 195
 	ParamNote        byte = 201
+	ParamReport      byte = 207 // figures of a group's state
 	ParamCause       byte = 222 // one byte
 	ParamDescription byte = 225
 )
