--- a/brain/brain.go
+++ b/brain/brain.go
@@ -897,11 +897,24 @@
 // refuse turns a call away for good.
 func (c *Controller) refuse(k *call) {
 	if k.owed {
-		c.act(Refuse{Call: k.id})
+		c.act(Refuse{Call: k.id, After: c.comeBack(k)})
 	}
 	c.close(k)
 }
 
+// comeBack says when a call that is refused now may be tried again: past the
+// pauses of its number and its exchange, and not before circuits may be free.
+func (c *Controller) comeBack(k *call) time.Duration {
+	after := c.goal / 2
+	if n := c.numbers[k.number]; n != nil {
+		after = max(after, n.busy.until-c.now)
+	}
+	if d := c.byNum[k.dest]; d != nil && d.shut() {
+		after = max(after, d.trial.until-c.now)
+	}
+	return after
+}
+
 // close ends what is owed; the call is kept while an attempt of it is out.
 func (c *Controller) close(k *call) {
 	k.owed = false
--- a/brain/interface.go
+++ b/brain/interface.go
@@ -168,8 +168,12 @@
 	Timeout time.Duration
 }
 
-// Refuse is the final answer "turned away".
-type Refuse struct{ Call string }
+// Refuse is the final answer "turned away". A caller that comes back after the
+// time given finds what it was refused for tried again.
+type Refuse struct {
+	Call  string
+	After time.Duration
+}
 
 // Fail is the final answer "failed".
 type Fail struct{ Call string }
--- a/internal/core/call.go
+++ b/internal/core/call.go
@@ -75,7 +75,7 @@
 		case a := <-k.todo:
 			switch a := a.(type) {
 			case brain.Refuse:
-				k.caller.Refuse(k.ID)
+				k.caller.Refuse(k.ID, a.After)
 				return
 			case brain.Fail:
 				k.caller.Fail(k.ID)
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -40,7 +40,8 @@
 type Caller interface {
 	// Answer says that the call stands. An error means the caller can't know it.
 	Answer(id uint64, description []byte) error
-	Refuse(id uint64)
+	// Refuse turns the call away; again says when it may be tried again.
+	Refuse(id uint64, again time.Duration)
 	Fail(id uint64)
 	// Release says that a call that stood is over.
 	Release(id uint64, cut bool)
--- a/internal/platform/front.go
+++ b/internal/platform/front.go
@@ -143,11 +143,11 @@
 		switch {
 		case errors.Is(err, core.ErrKnown):
 			// Its first copy is answered where it came in.
-			f.Log.Warn("set-up of a known call", "call", callName(m.Call))
+			f.Log.Warn("set-up of a known call", "call", fmt.Sprintf("%016x", m.Call))
 		case errors.Is(err, core.ErrBusy):
-			c.Refuse(m.Call)
+			c.Refuse(m.Call, 0)
 		case err != nil:
-			f.Log.Warn("set-up that can't be read", "call", callName(m.Call), "error", err)
+			f.Log.Warn("set-up that can't be read", "call", fmt.Sprintf("%016x", m.Call), "error", err)
 			c.answer(m.Call, sig.WithCause(sig.Release, m.Call, sig.CauseContents))
 		}
 	case sig.Release:
@@ -207,8 +207,8 @@
 		Params: []sig.Param{{Code: sig.ParamDescription, Value: description}}})
 }
 
-// Refuse turns a call away.
-func (c *conn) Refuse(id uint64) {
+// Refuse turns a call away. The protocol has no word for when to come back.
+func (c *conn) Refuse(id uint64, _ time.Duration) {
 	_ = c.answer(id, sig.WithCause(sig.Release, id, sig.CauseCongestion))
 }
 
@@ -276,15 +276,9 @@
 
 // send writes one message whole, or closes the connection.
 func (c *conn) send(m *sig.Message) error {
-	b, err := m.Append(nil)
-	if err != nil {
-		return err
-	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if err = c.SetWriteDeadline(time.Now().Add(callerWrite)); err == nil {
-		_, err = c.Write(b)
-	}
+	err := write(c.Conn, m, callerWrite)
 	if err != nil {
 		c.Close()
 	}
--- a/internal/platform/link.go
+++ b/internal/platform/link.go
@@ -5,290 +5,94 @@
 import (
 	"bufio"
 	"context"
-	"errors"
 	"fmt"
-	"io"
-	"log/slog"
 	"math"
 	"net"
 	"strconv"
-	"sync"
-	"syscall"
 	"time"
 
 	"violetspan.example/violetspan/brain"
 	"violetspan.example/violetspan/internal/core"
 	"violetspan.example/violetspan/internal/sig"
+	"violetspan.example/violetspan/internal/trunk"
 )
 
-const (
-	readBuffer   = 4 << 10
-	writeTimeout = 400 * time.Millisecond // below the drain grace: no byte leaves later than checked
-	redialFirst  = 50 * time.Millisecond
-	redialMost   = time.Second
-)
-
-// Up is what a link tells of its switch.
-type Up interface {
-	Answered(host string, id uint64, description []byte) bool
-	Ended(host string, id uint64, e core.End)
-	Group(host string, r brain.Report)
-	Dead(host string)
-}
-
-// Link keeps one connection to one listed switch: group states and releases
-// come on it also when nothing is sent.
-type Link struct {
-	member core.Member
-	up     Up
-	log    *slog.Logger
-	dialIn time.Duration
-	ctx    context.Context
-	stop   context.CancelFunc
-	turn   chan struct{} // held by whoever dials
-	lost   chan struct{} // a connection has ended: the keeper dials again
+const readBuffer = 4 << 10
 
-	mu   sync.Mutex
-	conn net.Conn
-	open map[uint64]bool // set-ups out on conn, not answered
-	next dialled
-
-	writing sync.Mutex // one message at a time
-}
-
-// dialled is how the last dial went.
-type dialled struct {
-	at  time.Time
-	err error
+// switchConn is a connection to a switch; see trunk.Conn.
+type switchConn struct {
+	net.Conn
+	in *bufio.Reader
 }
 
-// NewLink makes a link and starts to connect.
-func NewLink(ctx context.Context, m core.Member, up Up, dialIn time.Duration, log *slog.Logger) *Link {
-	l := &Link{member: m, up: up, log: log.With("switch", m.ID, "addr", m.Addr), dialIn: dialIn,
-		turn: make(chan struct{}, 1), lost: make(chan struct{}, 1), open: map[uint64]bool{}}
-	l.ctx, l.stop = context.WithCancel(ctx)
-	go l.keep()
-	return l
-}
-
-// keep holds a connection up until the link closes.
-func (l *Link) keep() {
-	gap := redialFirst
-	for {
-		_, err := l.connect(l.ctx)
-		if err == nil {
-			gap = redialFirst
-			select {
-			case <-l.lost:
-			case <-l.ctx.Done():
-			}
-		} else if l.ctx.Err() == nil {
-			l.log.Debug("no connection", "error", err)
-			if errors.Is(err, syscall.ECONNREFUSED) {
-				l.up.Dead(l.member.ID) // nothing listens: its process is gone, and its calls with it
-			}
-			again := time.NewTimer(gap)
-			select {
-			case <-again.C:
-			case <-l.ctx.Done():
-				again.Stop()
-			}
-			gap = min(2*gap, redialMost)
-		}
-		if l.ctx.Err() != nil {
-			return
-		}
-	}
-}
-
-// connect returns the connection, dialling if there is none. Who waits while
-// another dials takes that dial's result.
-func (l *Link) connect(ctx context.Context) (net.Conn, error) {
-	asked := time.Now()
-	select {
-	case l.turn <- struct{}{}:
-	case <-ctx.Done():
-		return nil, ctx.Err()
-	}
-	defer func() { <-l.turn }()
-	l.mu.Lock()
-	conn, last := l.conn, l.next
-	l.mu.Unlock()
-	if conn != nil {
-		return conn, nil
-	}
-	if last.err != nil && last.at.After(asked) {
-		return nil, last.err
-	}
-	d := net.Dialer{Timeout: l.dialIn}
-	conn, err := d.DialContext(l.ctx, "tcp", l.member.Addr)
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.next = dialled{time.Now(), err}
+// Dial connects to a switch that speaks the binary protocol.
+func Dial(ctx context.Context, addr string) (trunk.Conn, error) {
+	var d net.Dialer
+	c, err := d.DialContext(ctx, "tcp", addr)
 	if err != nil {
 		return nil, err
 	}
-	l.conn = conn
-	go l.read(conn)
-	return conn, nil
-}
-
-// read takes in what the switch sends until the connection ends.
-func (l *Link) read(conn net.Conn) {
-	in := bufio.NewReaderSize(conn, readBuffer)
-	var err error
-	for err == nil {
-		var m sig.Message
-		if m, err = sig.Read(in); err == nil {
-			l.take(&m)
-		}
-	}
-	if l.ctx.Err() == nil && !errors.Is(err, io.EOF) {
-		l.log.Warn("connection to a switch broke", "error", err)
-	}
-	l.drop(conn)
+	return &switchConn{c, bufio.NewReaderSize(c, readBuffer)}, nil
 }
 
-// drop gives a connection up: the set-ups that were open on it are over.
-func (l *Link) drop(conn net.Conn) {
-	conn.Close()
-	l.mu.Lock()
-	if l.conn != conn {
-		l.mu.Unlock()
-		return
-	}
-	l.conn = nil
-	open := l.open
-	l.open = map[uint64]bool{}
-	l.mu.Unlock()
-	for id := range open {
-		l.up.Ended(l.member.ID, id, core.End{Result: brain.Reset})
-	}
-	select {
-	case l.lost <- struct{}{}:
-	default:
+// Read reads the next message. What is malformed ends the connection.
+func (c *switchConn) Read() (trunk.Event, error) {
+	m, err := sig.Read(c.in)
+	if err != nil {
+		return trunk.Event{}, err
 	}
-}
-
-// take acts on one message of the switch.
-func (l *Link) take(m *sig.Message) {
+	ev := trunk.Event{Call: m.Call}
 	switch m.Type {
 	case sig.Answer:
-		l.forget(m.Call)
-		if !l.up.Answered(l.member.ID, m.Call, m.Get(sig.ParamDescription)) {
-			// The attempt was given up: what it set up is released, not passed on.
-			l.log.Debug("late answer released", "call", callName(m.Call))
-			l.Release(m.Call)
-		}
+		ev.Kind, ev.Description = trunk.Answer, m.Get(sig.ParamDescription)
 	case sig.Release:
-		l.forget(m.Call)
-		e, err := end(m)
-		if err != nil {
-			l.log.Warn("release with an unknown cause", "call", callName(m.Call), "error", err)
-		}
-		l.up.Ended(l.member.ID, m.Call, e)
-		heard := sig.Message{Type: sig.Heard, Call: m.Call}
-		_ = l.write(l.current(), &heard, nil) // a lost one is sent again by the switch
+		ev.Kind = trunk.End
+		ev.End, ev.Note = end(&m)
 	case sig.Group:
-		r, err := groupState(m)
-		if err != nil {
-			l.log.Warn("group state skipped", "error", err)
-			return
+		if ev.Report, ev.Note = groupState(&m); ev.Note == nil {
+			ev.Kind = trunk.Group
 		}
-		l.up.Group(l.member.ID, r)
 	case sig.Test:
-		passed := sig.WithCause(sig.Tested, m.Call, 1)
-		_ = l.write(l.current(), &passed, nil)
+		ev.Kind = trunk.Test
 	}
+	return ev, nil
 }
 
-func (l *Link) forget(id uint64) {
-	l.mu.Lock()
-	delete(l.open, id)
-	l.mu.Unlock()
-}
-
-func (l *Link) current() net.Conn {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.conn
-}
-
-// write sends one message whole, or drops the connection.
-func (l *Link) write(conn net.Conn, m *sig.Message, mayGo func() bool) error {
-	if conn == nil {
-		return core.ErrNotReached
-	}
-	b, err := m.Append(nil)
-	if err != nil {
-		return fmt.Errorf("%w: %w", core.ErrNotSent, err)
-	}
-	l.writing.Lock()
-	defer l.writing.Unlock()
-	if mayGo != nil && !mayGo() {
-		return core.ErrNotSent
-	}
-	if err := conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err == nil {
-		_, err = conn.Write(b)
-		if err == nil {
-			return nil
-		}
-	}
-	conn.Close() // its reader drops it
-	return errors.New("connection broke during a write")
-}
-
-// SetUp sends a set-up, on a new connection if there is none.
-func (l *Link) SetUp(ctx context.Context, s *core.SetUp, until time.Time, mayGo func() bool) error {
-	conn, err := l.connect(ctx)
-	if err != nil {
-		return fmt.Errorf("%w: %w", core.ErrNotReached, err)
-	}
-	l.mu.Lock()
-	if l.conn != conn {
-		l.mu.Unlock()
-		return core.ErrNotReached
-	}
-	l.open[s.ID] = true
-	l.mu.Unlock()
-	m := sig.Message{Type: sig.SetUp, Call: s.ID, Params: []sig.Param{
+// SetUp sends a set-up: class, number and description as they came.
+func (c *switchConn) SetUp(s *core.SetUp, until time.Time) error {
+	return c.send(sig.Message{Type: sig.SetUp, Call: s.ID, Params: []sig.Param{
 		{Code: sig.ParamClass, Value: []byte(s.ClassName)},
 		{Code: sig.ParamWait, Value: strconv.AppendInt(nil, max(1, time.Until(until).Milliseconds()), 10)},
 		{Code: sig.ParamNumber, Value: []byte(s.Number)},
 		{Code: sig.ParamDescription, Value: s.Description},
-	}}
-	err = l.write(conn, &m, mayGo)
-	if err != nil {
-		l.forget(s.ID)
-	}
-	return err
+	}})
 }
 
-// GiveUp tells the switch that a set-up is given up.
-func (l *Link) GiveUp(id uint64) {
-	l.forget(id)
-	l.Release(id)
+func (c *switchConn) Release(id uint64) error {
+	return c.send(sig.WithCause(sig.Release, id, sig.CauseNormal))
 }
 
-// Release tells the switch that a call is over. If there is no connection now,
-// the call is over with it, or is released when the switch speaks of it again.
-func (l *Link) Release(id uint64) {
-	m := sig.WithCause(sig.Release, id, sig.CauseNormal)
-	if err := l.write(l.current(), &m, nil); err != nil {
-		l.log.Debug("release not sent", "call", callName(id), "error", err)
-	}
+func (c *switchConn) Heard(id uint64) error {
+	return c.send(sig.Message{Type: sig.Heard, Call: id})
 }
 
-// Close ends the link.
-func (l *Link) Close() {
-	l.stop()
-	if conn := l.current(); conn != nil {
-		conn.Close()
+func (c *switchConn) Passed(id uint64) error { return c.send(sig.WithCause(sig.Tested, id, 1)) }
+
+func (c *switchConn) send(m sig.Message) error { return write(c.Conn, &m, trunk.WriteTimeout) }
+
+// write sends one message whole within a time.
+func write(c net.Conn, m *sig.Message, within time.Duration) error {
+	b, err := m.Append(nil)
+	if err != nil {
+		return fmt.Errorf("%w: %w", core.ErrNotSent, err)
 	}
+	if err := c.SetWriteDeadline(time.Now().Add(within)); err != nil {
+		return err
+	}
+	_, err = c.Write(b)
+	return err
 }
 
-func callName(id uint64) string { return fmt.Sprintf("%016x", id) }
-
 // end reads why a switch released a call.
 func end(m *sig.Message) (core.End, error) {
 	e := core.End{Cause: notes[string(m.Get(sig.ParamNote))]}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -16,6 +16,7 @@
 	"violetspan.example/violetspan/internal/config"
 	"violetspan.example/violetspan/internal/core"
 	"violetspan.example/violetspan/internal/platform"
+	"violetspan.example/violetspan/internal/trunk"
 )
 
 // Phase is where a Proxy is between its start and its exit.
@@ -77,7 +78,7 @@
 			if _, _, err := net.SplitHostPort(m.Addr); err != nil {
 				return nil, err
 			}
-			return platform.NewLink(life, m, c, p.cfg.Settings.DialTimeout, p.log), nil
+			return trunk.New(life, m, c, p.cfg.Settings.DialTimeout, p.log, platform.Dial), nil
 		},
 		Orphan:   front.Orphan,
 		MaxCalls: min(p.cfg.Settings.OpenCap, maxCalls)})
--- /dev/null
+++ b/internal/trunk/trunk.go
@@ -0,0 +1,294 @@
+// Package trunk keeps the way to one listed switch open, whichever wire the
+// switch speaks. A front brings the wire as a Dial and a Conn.
+package trunk
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"sync"
+	"syscall"
+	"time"
+
+	"violetspan.example/violetspan/brain"
+	"violetspan.example/violetspan/internal/core"
+)
+
+// Conn is one connection to a switch. Read is called by one goroutine; the
+// other methods one at a time, and each gives up after WriteTimeout.
+type Conn interface {
+	Read() (Event, error)
+	SetUp(s *core.SetUp, until time.Time) error
+	Release(id uint64) error
+	Heard(id uint64) error
+	Passed(id uint64) error
+	Close() error
+}
+
+// WriteTimeout bounds every write. It is below the drain grace, so that no byte
+// of a set-up leaves later than its check allows.
+const WriteTimeout = 400 * time.Millisecond
+
+// Kind is what a switch said.
+type Kind int
+
+// The kinds of events.
+const (
+	Nothing Kind = iota // free of meaning here
+	Answer
+	End
+	Group
+	Test
+)
+
+// Event is one thing that a switch said.
+type Event struct {
+	Kind        Kind
+	Call        uint64
+	Description []byte       // of an answer
+	End         core.End     // of an end
+	Report      brain.Report // of a group's state
+	Note        error        // why something in it was skipped
+}
+
+// Up is what a link tells of its switch.
+type Up interface {
+	Answered(host string, id uint64, description []byte) bool
+	Ended(host string, id uint64, e core.End)
+	Group(host string, r brain.Report)
+	Dead(host string)
+}
+
+const (
+	redialFirst = 50 * time.Millisecond
+	redialMost  = time.Second
+)
+
+// Link keeps one connection to one switch: group states and releases come on
+// it also when nothing is sent. It implements core.Link.
+type Link struct {
+	member core.Member
+	up     Up
+	log    *slog.Logger
+	dial   func(ctx context.Context, addr string) (Conn, error)
+	dialIn time.Duration
+	ctx    context.Context
+	stop   context.CancelFunc
+	turn   chan struct{} // held by whoever dials
+	lost   chan struct{} // a connection has ended: the keeper dials again
+
+	mu   sync.Mutex
+	conn Conn
+	open map[uint64]bool // set-ups out on conn, not answered
+	last struct {        // how the last dial went
+		at  time.Time
+		err error
+	}
+
+	writing sync.Mutex // one message at a time
+}
+
+// New makes a link and starts to connect. A dial may take up to dialIn.
+func New(ctx context.Context, m core.Member, up Up, dialIn time.Duration, log *slog.Logger,
+	dial func(ctx context.Context, addr string) (Conn, error)) *Link {
+	l := &Link{member: m, up: up, log: log.With("switch", m.ID, "addr", m.Addr), dial: dial, dialIn: dialIn,
+		turn: make(chan struct{}, 1), lost: make(chan struct{}, 1), open: map[uint64]bool{}}
+	l.ctx, l.stop = context.WithCancel(ctx)
+	go l.keep()
+	return l
+}
+
+// keep holds a connection up until the link closes.
+func (l *Link) keep() {
+	gap := redialFirst
+	for l.ctx.Err() == nil {
+		if _, err := l.connect(l.ctx); err == nil {
+			gap = redialFirst
+			select {
+			case <-l.lost:
+			case <-l.ctx.Done():
+			}
+			continue
+		} else if errors.Is(err, syscall.ECONNREFUSED) {
+			l.up.Dead(l.member.ID) // nothing listens: its process is gone, and its calls with it
+		}
+		again := time.NewTimer(gap)
+		select {
+		case <-again.C:
+		case <-l.ctx.Done():
+			again.Stop()
+		}
+		gap = min(2*gap, redialMost)
+	}
+}
+
+// connect returns the connection, dialling if there is none. Who waits while
+// another dials takes that dial's result.
+func (l *Link) connect(ctx context.Context) (Conn, error) {
+	asked := time.Now()
+	select {
+	case l.turn <- struct{}{}:
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+	defer func() { <-l.turn }()
+	l.mu.Lock()
+	conn, last := l.conn, l.last
+	l.mu.Unlock()
+	if conn != nil {
+		return conn, nil
+	}
+	if last.err != nil && last.at.After(asked) {
+		return nil, last.err
+	}
+	dctx, cancel := context.WithTimeout(l.ctx, l.dialIn)
+	defer cancel()
+	conn, err := l.dial(dctx, l.member.Addr)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.last.at, l.last.err = time.Now(), err
+	if err != nil {
+		l.log.Debug("no connection to a switch", "error", err)
+		return nil, err
+	}
+	if err := l.ctx.Err(); err != nil {
+		conn.Close() // the link was closed during the dial
+		return nil, err
+	}
+	l.conn = conn
+	go l.read(conn)
+	return conn, nil
+}
+
+// read takes in what the switch says until the connection ends. Then the
+// set-ups that were open on it are over.
+func (l *Link) read(conn Conn) {
+	for {
+		ev, err := conn.Read()
+		if err != nil {
+			if l.ctx.Err() == nil && !errors.Is(err, io.EOF) {
+				l.log.Warn("connection to a switch broke", "error", err)
+			}
+			break
+		}
+		if ev.Note != nil {
+			l.log.Warn("message of a switch with something unknown", "error", ev.Note)
+		}
+		l.take(conn, ev)
+	}
+	conn.Close()
+	l.mu.Lock()
+	open := l.open
+	l.conn, l.open = nil, map[uint64]bool{}
+	l.mu.Unlock()
+	for id := range open {
+		l.up.Ended(l.member.ID, id, core.End{Result: brain.Reset})
+	}
+	select {
+	case l.lost <- struct{}{}:
+	default:
+	}
+}
+
+// take acts on what the switch said. A lost reply is made good by its repeat.
+func (l *Link) take(conn Conn, ev Event) {
+	switch ev.Kind {
+	case Answer:
+		l.forget(ev.Call)
+		if !l.up.Answered(l.member.ID, ev.Call, ev.Description) {
+			// The attempt was given up: what it set up is released, not passed on.
+			l.log.Debug("late answer released", "call", name(ev.Call))
+			l.Release(ev.Call)
+		}
+	case End:
+		l.forget(ev.Call)
+		l.up.Ended(l.member.ID, ev.Call, ev.End)
+		_ = l.write(conn, nil, func() error { return conn.Heard(ev.Call) })
+	case Group:
+		l.up.Group(l.member.ID, ev.Report)
+	case Test:
+		_ = l.write(conn, nil, func() error { return conn.Passed(ev.Call) })
+	}
+}
+
+func (l *Link) forget(id uint64) {
+	l.mu.Lock()
+	delete(l.open, id)
+	l.mu.Unlock()
+}
+
+func (l *Link) current() Conn {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.conn
+}
+
+// write sends one message whole, or closes the connection: its reader then
+// ends what was open on it.
+func (l *Link) write(conn Conn, mayGo func() bool, send func() error) error {
+	l.writing.Lock()
+	defer l.writing.Unlock()
+	if mayGo != nil && !mayGo() {
+		return core.ErrNotSent
+	}
+	err := send()
+	if errors.Is(err, core.ErrNotSent) {
+		return err // this message can't be sent; the connection is sound
+	}
+	if err != nil {
+		conn.Close()
+		return fmt.Errorf("connection broke during a write: %w", err)
+	}
+	return nil
+}
+
+// SetUp implements core.Link. It sends on a new connection if there is none.
+func (l *Link) SetUp(ctx context.Context, s *core.SetUp, until time.Time, mayGo func() bool) error {
+	if _, err := l.connect(ctx); err != nil {
+		return fmt.Errorf("%w: %w", core.ErrNotReached, err)
+	}
+	l.mu.Lock()
+	conn := l.conn
+	if conn != nil {
+		l.open[s.ID] = true // before the write: the answer may be quick
+	}
+	l.mu.Unlock()
+	if conn == nil {
+		return core.ErrNotReached // it ended a moment ago
+	}
+	err := l.write(conn, mayGo, func() error { return conn.SetUp(s, until) })
+	if err != nil {
+		l.forget(s.ID)
+	}
+	return err
+}
+
+// GiveUp tells the switch that a set-up is given up.
+func (l *Link) GiveUp(id uint64) {
+	l.forget(id)
+	l.Release(id)
+}
+
+// Release tells the switch that a call is over. Without a connection now, the
+// switch is told when it speaks of the call again.
+func (l *Link) Release(id uint64) {
+	conn := l.current()
+	if conn == nil {
+		return
+	}
+	if err := l.write(conn, nil, func() error { return conn.Release(id) }); err != nil {
+		l.log.Debug("release not sent", "call", name(id), "error", err)
+	}
+}
+
+// Close ends the link.
+func (l *Link) Close() {
+	l.stop()
+	if conn := l.current(); conn != nil {
+		conn.Close()
+	}
+}
+
+func name(id uint64) string { return fmt.Sprintf("%016x", id) }
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -98,6 +98,7 @@
 		in.classes[p.vals[at+"name"]] = i
 		s.Classes = append(s.Classes, k)
 	}
+	in.advise = p.yes("limits.retryAfter")
 	in.columns = p.list("report.columns")
 	return s, p.err
 }
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -39,7 +39,7 @@
 	name    string
 	d       Decider
 	columns []string
-	tells   bool
+	advise  bool // callers hear when to dial again
 	classes map[string]int
 }
 
@@ -611,7 +611,11 @@
 	case brain.Refuse:
 		h.open("NOT_NOW", in)
 		h.put(a.Call)
-		h.put("0") // no advice on when to dial again
+		if in.advise {
+			h.putMs(a.After)
+		} else {
+			h.put("0") // no advice on when to dial again
+		}
 	case brain.Fail:
 		h.open("ABORT", in)
 		h.put(a.Call)
