--- a/internal/callapi/front.go
+++ b/internal/callapi/front.go
@@ -267,6 +267,17 @@
 	}
 }
 
+// Close closes every connection.
+func (f *Front) Close() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, socks := range f.socks {
+		for s := range socks {
+			s.close()
+		}
+	}
+}
+
 // setUp takes a set-up. One that is known joins the first: there is one call
 // and one answer, however often it is asked for.
 func (f *Front) setUp(s *socket, m message, at time.Time) error {
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -3,11 +3,14 @@
 package config
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"math"
 	"net"
 	"os"
+	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -15,6 +18,7 @@
 	jsoniter "github.com/json-iterator/go"
 
 	"violetspan.example/violetspan/brain"
+	"violetspan.example/violetspan/internal/tenant"
 )
 
 // Platform is what the platform tells a signalling proxy at its start.
@@ -103,16 +107,92 @@
 	return p, r.err
 }
 
-// ParseSettings reads the settings alone, as a service's file holds them.
-func ParseSettings(b []byte, prefix string) (Settings, error) {
+// Service is where the hosted service listens and what it serves. Its file
+// stands under deploy/; without one the service is off.
+type Service struct {
+	CallListen     string
+	KeepAnswers    time.Duration
+	MaxKept        int
+	MaxConns       int
+	AdminListen    string // empty: off
+	AdminTokenHash string
+	Inventory      string    // path of the inventory
+	Settings       *Settings // nil: the platform's are used
+}
+
+// LoadService reads a service file. Paths in it are relative to its own place.
+func LoadService(path string, env func(string) string) (*Service, error) {
+	b, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("service file: %w", err)
+	}
+	s, err := ParseService(b, env)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	if !filepath.IsAbs(s.Inventory) {
+		s.Inventory = filepath.Join(filepath.Dir(path), s.Inventory)
+	}
+	return s, nil
+}
+
+// ParseService reads the text of a service file. The token of administrators
+// comes from the environment, so that no file holds it.
+func ParseService(b []byte, env func(string) string) (*Service, error) {
 	r, err := open(b)
 	if err != nil {
-		return Settings{}, err
+		return nil, err
+	}
+	r.only("", "callapi", "admin", "inventory", "settings")
+	r.only("callapi", "listen", "keep_answers_s", "max_kept_calls", "max_connections")
+	r.only("admin", "listen", "token_env")
+	s := &Service{
+		CallListen:  r.address("callapi.listen"),
+		KeepAnswers: time.Duration(r.num("callapi.keep_answers_s", 60, 1, 3600) * float64(time.Second)),
+		MaxKept:     r.whole("callapi.max_kept_calls", 20000, 1, 1<<20),
+		MaxConns:    r.whole("callapi.max_connections", 256, 1, 1<<16),
+		Inventory:   r.text("inventory", ""),
+	}
+	if s.Inventory == "" {
+		r.fail("inventory", "missing")
+	}
+	if !missing(r.at("admin")) {
+		s.AdminListen = r.address("admin.listen")
+		name := r.text("admin.token_env", "VIOLETSPAN_ADMIN_TOKEN")
+		token := env(name)
+		if len(token) < minToken {
+			r.fail("admin.token_env", fmt.Sprintf("the variable %s holds no token of %d bytes or more", name, minToken))
+		}
+		s.AdminTokenHash = tenant.Hash(token)
+	}
+	if !missing(r.at("settings")) {
+		set := r.settings("settings.")
+		s.Settings = &set
 	}
-	s := r.settings(prefix)
 	return s, r.err
 }
 
+const minToken = 16
+
+// only fails on keys of an object that are not known.
+func (r *reader) only(key string, known ...string) {
+	v := r.root
+	if key != "" {
+		if v = r.at(key); missing(v) {
+			return
+		}
+	}
+	if v.ValueType() != jsoniter.ObjectValue {
+		r.fail(cmp.Or(key, "(top)"), "an object is wanted")
+		return
+	}
+	for _, k := range v.Keys() {
+		if !slices.Contains(known, k) {
+			r.fail(strings.TrimPrefix(key+"."+k, "."), "not known")
+		}
+	}
+}
+
 // reader looks values up by their dotted keys and keeps the first error.
 type reader struct {
 	root jsoniter.Any
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -12,6 +12,8 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -120,12 +122,15 @@
 	swept   time.Time
 	owed    int           // calls that wait for their final answer
 	changed chan struct{} // closed when owed or len(calls) falls
+	leaving []*member     // switches that left, where calls still stand
+	stopped bool          // no new calls
 	closed  bool
 }
 
 type member struct {
 	Member
-	link Link
+	link   Link
+	source string
 }
 
 // New makes a core that runs until the context ends.
@@ -195,73 +200,94 @@
 	}
 }
 
-// List takes the whole list of switches or changes to it.
-func (c *Core) List(full bool, ms []Member) {
+// A List is what one source says of its switches.
+type List struct {
+	Source  string
+	Full    bool // Members are all that the source has: those it lacks have left
+	Members []Member
+	// Gentle: a switch that left may still run, and what stands there goes on.
+	// Otherwise it is gone, and its calls with it.
+	Gentle bool
+}
+
+// List takes a source's whole list of switches or changes to it. The module
+// hears of changes only, so that the sources don't undo each other.
+func (c *Core) List(l List) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	ev := brain.Listed{Full: full}
-	present := map[string]bool{}
+	ms := l.Members
+	if l.Full {
+		present := map[string]bool{}
+		for _, m := range ms {
+			present[m.ID] = true
+		}
+		for id, m := range c.members {
+			if m.source == l.Source && !present[id] {
+				left := m.Member
+				left.State = brain.Gone
+				ms = append(ms[:len(ms):len(ms)], left)
+			}
+		}
+	}
+	var ev brain.Listed
 	for _, m := range ms {
-		present[m.ID] = true
-		c.setMember(m)
+		if !c.setMember(m, l) {
+			continue
+		}
 		e := brain.Entry{Host: m.ID, Number: m.Number, State: m.State}
 		if !m.Started.IsZero() {
 			e.Started = max(0, c.clock(m.Started))
 		}
 		ev.Entries = append(ev.Entries, e)
 	}
-	if full {
-		for id, m := range c.members {
-			if !present[id] {
-				m.State = brain.Gone
-				c.retire(m)
-			}
-		}
-	}
 	c.tellLocked(ev)
 }
 
-func (c *Core) setMember(m Member) {
+// setMember takes in one entry of a list; false if it can't be used.
+func (c *Core) setMember(m Member, l List) bool {
 	old := c.members[m.ID]
+	if old != nil && old.source != l.Source {
+		c.log.Error("a switch that another list has", "switch", m.ID, "list", l.Source, "other", old.source)
+		return false
+	}
 	if m.State == brain.Gone {
 		if old != nil {
-			old.State = brain.Gone
-			c.retire(old)
+			c.retire(old, l.Gentle)
 		}
-		return
-	}
-	if old != nil && old.Addr == m.Addr && old.Started.Equal(m.Started) {
-		old.Member = m
-		return
+		return true
 	}
-	if old != nil {
+	if old != nil && old.Addr == m.Addr {
 		if !old.Started.Equal(m.Started) {
-			// It was started anew: what stood through it before is cut.
-			c.cutAll(m.ID)
-		}
-		if old.Addr == m.Addr {
-			old.Member = m
-			return
+			c.cutAll(m.ID) // it was started anew: what stood there before is cut
 		}
-		old.link.Close()
+		old.Member = m
+		return true
 	}
-	l, err := c.opt.Open(m)
+	link, err := c.opt.Open(m)
 	if err != nil {
 		c.log.Error("a listed switch can't be used", "switch", m.ID, "addr", m.Addr, "error", err)
-		delete(c.members, m.ID)
-		return
+		return false
+	}
+	if old != nil {
+		c.retire(old, l.Gentle)
 	}
-	c.members[m.ID] = &member{Member: m, link: l}
+	c.members[m.ID] = &member{Member: m, link: link, source: l.Source}
+	return true
 }
 
 // retire drops a switch that has left. Its releases may still be on their way,
-// so the link stays for a moment; what stands then is cut.
-func (c *Core) retire(m *member) {
+// so the link stays: until nothing stands there if it may still run, else for a
+// moment, after which what stands is cut.
+func (c *Core) retire(m *member, gentle bool) {
 	delete(c.members, m.ID)
+	if gentle {
+		c.leaving = append(c.leaving, m)
+		c.sweepLeaving()
+		return
+	}
 	time.AfterFunc(cutLinger, func() {
 		c.mu.Lock()
-		back := c.members[m.ID]
-		if back == nil {
+		if c.members[m.ID] == nil {
 			c.cutAll(m.ID)
 		}
 		c.mu.Unlock()
@@ -269,13 +295,45 @@
 	})
 }
 
+// sweepLeaving closes the links to switches that left and have no call any more.
+func (c *Core) sweepLeaving() {
+	c.leaving = slices.DeleteFunc(c.leaving, func(m *member) bool {
+		for _, k := range c.calls {
+			if k.out == m.ID {
+				return false
+			}
+		}
+		go m.link.Close()
+		return true
+	})
+}
+
+// Members returns the switches as they are listed now, by their ids.
+func (c *Core) Members() []Member {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	ms := make([]Member, 0, len(c.members))
+	for _, m := range c.members {
+		ms = append(ms, m.Member)
+	}
+	slices.SortFunc(ms, func(a, b Member) int { return strings.Compare(a.ID, b.ID) })
+	return ms
+}
+
+// Stop lets no new call in.
+func (c *Core) Stop() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.stopped = true
+}
+
 // Offer takes a call. It fails if the call is known already or there is no
 // room; the caller is then owed its answer by the front.
 func (c *Core) Offer(s *SetUp, from Caller) error {
 	k := newCall(c, s, from)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.closed || len(c.calls) >= c.opt.MaxCalls {
+	if c.closed || c.stopped || len(c.calls) >= c.opt.MaxCalls {
 		k.leave()
 		return ErrBusy
 	}
@@ -421,6 +479,9 @@
 		m.link.Close()
 		delete(c.members, id)
 	}
+	for _, m := range c.leaving {
+		m.link.Close()
+	}
 	return err
 }
 
@@ -471,4 +532,7 @@
 		c.ended[k.ID] = now
 	}
 	c.wake()
+	if len(c.leaving) > 0 {
+		c.sweepLeaving()
+	}
 }
--- a/internal/platform/channel.go
+++ b/internal/platform/channel.go
@@ -28,7 +28,7 @@
 // Channel follows the command channel's list of switches.
 type Channel struct {
 	Addr string
-	List func(full bool, ms []core.Member)
+	List func(core.List)
 	Log  *slog.Logger
 
 	cursor int64
@@ -80,7 +80,7 @@
 			ms = append(ms, m)
 		}
 		c.Log.Info("list of switches", "event", cmd.Cursor, "complete", cmd.Nodes.Complete, "switches", len(ms))
-		c.List(cmd.Nodes.Complete, ms)
+		c.List(core.List{Source: "channel", Full: cmd.Nodes.Complete, Members: ms})
 		c.cursor = max(c.cursor, cmd.Cursor)
 	}
 	c.cursor = max(c.cursor, ev.Cursor)
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -8,14 +8,22 @@
 	"fmt"
 	"log/slog"
 	"net"
+	"net/http"
+	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
+	"golang.org/x/net/netutil"
 	"golang.org/x/sync/errgroup"
 
+	"violetspan.example/violetspan/internal/admin"
+	"violetspan.example/violetspan/internal/callapi"
 	"violetspan.example/violetspan/internal/config"
 	"violetspan.example/violetspan/internal/core"
+	"violetspan.example/violetspan/internal/inventory"
 	"violetspan.example/violetspan/internal/platform"
+	"violetspan.example/violetspan/internal/tenant"
 	"violetspan.example/violetspan/internal/trunk"
 )
 
@@ -35,24 +43,42 @@
 	return [...]string{"starting", "serving", "grace", "finishing", "stopped"}[p]
 }
 
-// How long the phases after the order to stop last at most. The platform sends
-// new calls for 0.6 s after it, and kills no sooner than 3.7 s after it.
+// How long the phases after the order to stop last. The platform sends new
+// calls for 0.6 s after it, and kills no sooner than 3.7 s after it. Exiting
+// with an answer owed loses the call; staying on until the kill does not.
 const (
 	graceFor  = 700 * time.Millisecond
-	finishFor = 2700 * time.Millisecond
+	finishFor = 2700 * time.Millisecond // for releases of what stands
+	answerFor = 15 * time.Second        // for answers; callers wait less
+)
+
+const (
+	maxCalls   = 8192
+	adminConns = 16
 )
 
 // Proxy is one signalling proxy.
 type Proxy struct {
-	cfg   *config.Platform
-	log   *slog.Logger
-	phase atomic.Int32
+	platform *config.Platform // nil: off
+	service  *config.Service  // nil: off
+	log      *slog.Logger
+	phase    atomic.Int32
+
+	core    *core.Core
+	front   *platform.Front
+	api     *callapi.Front
+	tenants *tenant.Registry
+	reload  sync.Mutex
+	// Where it listens, for those who let the system choose the ports.
+	CallAddr, APIAddr, AdminAddr net.Addr
 }
 
-// Run serves until the context ends, then finishes what was taken.
-func Run(ctx context.Context, cfg *config.Platform, log *slog.Logger) error {
-	p := &Proxy{cfg: cfg, log: log.With("proxy", cfg.Name)}
-	return p.run(ctx)
+// New makes a proxy with one front or both.
+func New(pf *config.Platform, sv *config.Service, log *slog.Logger) (*Proxy, error) {
+	if pf == nil && (sv == nil || sv.Settings == nil) {
+		return nil, errors.New("key settings: missing, and no platform gives them")
+	}
+	return &Proxy{platform: pf, service: sv, log: log}, nil
 }
 
 // Phase tells where the proxy is.
@@ -63,44 +89,36 @@
 	p.log.Info("phase", "phase", ph.String())
 }
 
-// run leads the proxy through its phases.
-func (p *Proxy) run(ctx context.Context) error {
+// Run serves until the context ends, then finishes what was taken. Each value
+// on hup reloads the inventory. It calls ready, if given, once it serves.
+func (p *Proxy) Run(ctx context.Context, hup <-chan struct{}, ready func()) error {
 	p.enter(Starting)
 	defer p.enter(Stopped)
-	life, end := context.WithCancel(context.WithoutCancel(ctx))
+	base, end := context.WithCancel(context.WithoutCancel(ctx))
 	defer end()
-	g, life := errgroup.WithContext(life)
-
-	front := &platform.Front{Classes: p.cfg.Settings.Classes, MaxConns: p.cfg.Sockets / 2, Log: p.log}
-	var c *core.Core
-	c, err := core.New(life, core.Options{Settings: p.cfg.Settings.Brain, Seed: p.cfg.Seed, Log: p.log,
-		Open: func(m core.Member) (core.Link, error) {
-			if _, _, err := net.SplitHostPort(m.Addr); err != nil {
-				return nil, err
-			}
-			return trunk.New(life, m, c, p.cfg.Settings.DialTimeout, p.log, platform.Dial), nil
-		},
-		Orphan:   front.Orphan,
-		MaxCalls: min(p.cfg.Settings.OpenCap, maxCalls)})
-	if err != nil {
-		return err
-	}
-	front.Calls = c
-	channel := &platform.Channel{Addr: p.cfg.Channel, List: c.List, Log: p.log}
-	if err := channel.Take(p.cfg.Known); err != nil {
-		return fmt.Errorf("key known: %w", err)
-	}
-	ln, err := platform.Listen(life, p.cfg.Listen)
+	g, life := errgroup.WithContext(base)
+	stopFronts, err := p.start(life, g)
 	if err != nil {
-		return fmt.Errorf("key listen: %w", err)
+		end()
+		return errors.Join(err, g.Wait())
 	}
-	g.Go(func() error { return channel.Follow(life) })
-	g.Go(func() error { return front.Serve(ln) })
 
 	p.enter(Serving)
-	select {
-	case <-ctx.Done():
-	case <-life.Done(): // a part failed: its error is the group's
+	if ready != nil {
+		ready()
+	}
+serving:
+	for {
+		select {
+		case <-hup:
+			if err := p.Reload(); err != nil {
+				p.log.Error("inventory not reloaded", "error", err)
+			}
+		case <-ctx.Done():
+			break serving
+		case <-life.Done(): // a part failed: its error is the group's
+			break serving
+		}
 	}
 
 	p.enter(Grace)
@@ -111,17 +129,150 @@
 	}
 
 	p.enter(Finishing)
-	ln.Close()
-	finish, cancel := context.WithTimeout(life, finishFor)
+	p.core.Stop()
+	finish := time.Now().Add(finishFor)
+	answers, cancel := context.WithTimeout(life, answerFor)
 	defer cancel()
-	if err := c.Settle(finish, true); err != nil {
-		owed, standing := c.Counts()
+	err = p.core.Settle(answers, false)
+	releases, cancel := context.WithDeadline(life, finish)
+	defer cancel()
+	if err = errors.Join(err, p.core.Settle(releases, true)); err != nil {
+		owed, standing := p.core.Counts()
 		p.log.Info("calls left at the end", "owed", owed, "standing", standing)
 	}
-	front.Close()
-	err = c.Close()
+	stopFronts()
+	err = p.core.Close()
 	end()
 	return errors.Join(err, g.Wait())
 }
 
-const maxCalls = 8192
+// start opens what the configuration asks for. The function that it returns
+// closes the fronts.
+func (p *Proxy) start(life context.Context, g *errgroup.Group) (stop func(), err error) {
+	var closers []func()
+	stop = func() {
+		for _, f := range closers {
+			f()
+		}
+	}
+	defer func() {
+		if err != nil {
+			stop()
+		}
+	}()
+	set, opt := p.settings(life)
+	if p.core, err = core.New(life, opt); err != nil {
+		return stop, err
+	}
+	closers = append(closers, func() { _ = p.core.Close() })
+
+	if pf := p.platform; pf != nil {
+		p.front.Calls = p.core
+		channel := &platform.Channel{Addr: pf.Channel, List: p.core.List, Log: p.log}
+		if err := channel.Take(pf.Known); err != nil {
+			return stop, fmt.Errorf("key known: %w", err)
+		}
+		ln, err := platform.Listen(life, pf.Listen)
+		if err != nil {
+			return stop, fmt.Errorf("key listen: %w", err)
+		}
+		p.CallAddr = ln.Addr()
+		closers = append(closers, p.front.Close, func() { ln.Close() })
+		g.Go(func() error { return channel.Follow(life) })
+		g.Go(func() error { return p.front.Serve(ln) })
+	}
+
+	if sv := p.service; sv != nil {
+		p.tenants = tenant.New(time.Now)
+		p.api = &callapi.Front{Calls: p.core, Tenants: p.tenants, Log: p.log, Keep: sv.KeepAnswers,
+			MaxKept: sv.MaxKept, Classes: map[string]callapi.Class{}}
+		for name, i := range set.Classes {
+			p.api.Classes[name] = callapi.Class{Place: i, Width: set.Brain.Classes[i].Width}
+		}
+		if err := p.Reload(); err != nil {
+			return stop, err
+		}
+		mux := http.NewServeMux()
+		mux.Handle("GET /v1/calls", p.api)
+		addr, shut, err := p.listenHTTP(life, g, "callapi.listen", sv.CallListen, sv.MaxConns, mux)
+		if err != nil {
+			return stop, err
+		}
+		p.APIAddr = addr
+		closers = append(closers, p.api.Close, shut)
+		if sv.AdminListen != "" {
+			a := &admin.Server{TokenHash: sv.AdminTokenHash, Tenants: p.tenants, Switches: p.core.Members,
+				Status: p.status, Reload: p.Reload, Disconnect: p.api.Disconnect, Log: p.log}
+			addr, shut, err := p.listenHTTP(life, g, "admin.listen", sv.AdminListen, adminConns, a.Handler())
+			if err != nil {
+				return stop, err
+			}
+			p.AdminAddr = addr
+			closers = append(closers, shut)
+		}
+	}
+	return stop, nil
+}
+
+// settings gathers what the core is made of.
+func (p *Proxy) settings(life context.Context) (*config.Settings, core.Options) {
+	opt := core.Options{Log: p.log}
+	var set *config.Settings
+	if pf := p.platform; pf != nil {
+		set, opt.Seed = &pf.Settings, pf.Seed
+		p.front = &platform.Front{Classes: set.Classes, MaxConns: pf.Sockets / 2, Log: p.log}
+		opt.Orphan = p.front.Orphan
+	} else {
+		set, opt.Seed = p.service.Settings, uint64(time.Now().UnixNano())
+	}
+	opt.Settings, opt.MaxCalls = set.Brain, min(set.OpenCap, maxCalls)
+	opt.Open = func(m core.Member) (core.Link, error) {
+		dial := platform.Dial
+		if strings.HasPrefix(m.Addr, "ws://") {
+			dial = callapi.Dial
+		} else if _, _, err := net.SplitHostPort(m.Addr); err != nil {
+			return nil, err
+		}
+		return trunk.New(life, m, p.core, set.DialTimeout, p.log, dial), nil
+	}
+	return set, opt
+}
+
+// listenHTTP serves a handler on an address.
+func (p *Proxy) listenHTTP(life context.Context, g *errgroup.Group, key, addr string, conns int, h http.Handler) (net.Addr, func(), error) {
+	ln, err := platform.Listen(life, addr)
+	if err != nil {
+		return nil, nil, fmt.Errorf("key %s: %w", key, err)
+	}
+	srv := &http.Server{Handler: h, ReadHeaderTimeout: 5 * time.Second, ReadTimeout: 10 * time.Second,
+		WriteTimeout: 10 * time.Second, IdleTimeout: time.Minute, MaxHeaderBytes: 16 << 10,
+		ErrorLog: slog.NewLogLogger(p.log.Handler(), slog.LevelWarn)}
+	g.Go(func() error {
+		if err := srv.Serve(netutil.LimitListener(ln, conns)); !errors.Is(err, http.ErrServerClosed) {
+			return fmt.Errorf("key %s: %w", key, err)
+		}
+		return nil
+	})
+	return ln.Addr(), func() { srv.Close() }, nil
+}
+
+// Reload reads the inventory anew: all of it counts, or with an error nothing.
+func (p *Proxy) Reload() error {
+	p.reload.Lock()
+	defer p.reload.Unlock()
+	inv, err := inventory.Load(p.service.Inventory)
+	if err != nil {
+		return err
+	}
+	if err := p.tenants.Seed(inv.Tenants); err != nil {
+		return fmt.Errorf("%s: %w", p.service.Inventory, err)
+	}
+	p.core.List(core.List{Source: "inventory", Full: true, Members: inv.Switches, Gentle: true})
+	p.log.Info("inventory loaded", "switches", len(inv.Switches), "tenants", len(inv.Tenants))
+	return nil
+}
+
+func (p *Proxy) status() admin.Status {
+	owed, standing := p.core.Counts()
+	return admin.Status{Phase: p.Phase().String(), Owed: owed, Standing: standing}
+}
