--- a/cmd/violetspan/main.go
+++ b/cmd/violetspan/main.go
@@ -16,6 +16,7 @@
 	"syscall"
 
 	"violetspan.example/violetspan/internal/config"
+	"violetspan.example/violetspan/internal/logs"
 	"violetspan.example/violetspan/internal/proxy"
 )
 
@@ -25,6 +26,9 @@
 	exitConfig = 2
 )
 
+// logLines is how many lines may wait for a slow reader of the log.
+const logLines = 2048
+
 func main() {
 	service := flag.String("service", "", "file of the hosted service, such as deploy/service.json; empty: off")
 	verbose := flag.Bool("v", false, "log debug lines too")
@@ -33,7 +37,8 @@
 	if *verbose {
 		level = slog.LevelDebug
 	}
-	log := slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: level}))
+	out := logs.New(os.Stderr, logLines)
+	log := slog.New(slog.NewTextHandler(out, &slog.HandlerOptions{Level: level}))
 	p, err := configure(*service, log)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "violetspan: configuration:", err)
@@ -41,7 +46,9 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
-	if err := p.Run(ctx, hups(ctx), nil); err != nil {
+	err = p.Run(ctx, hups(ctx), nil)
+	out.Close()
+	if err != nil {
 		fmt.Fprintln(os.Stderr, "violetspan:", err)
 		os.Exit(exitFailed)
 	}
