--- /dev/null
+++ b/internal/config/config_test.go
@@ -0,0 +1,104 @@
+package config
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"violetspan.example/violetspan/brain"
+	"violetspan.example/violetspan/internal/tenant"
+)
+
+const good = `{"name":"n3","listen":"127.0.0.1:5070","seed":"8c1f30d27a5be964","limits":{"sockets":4096,"memory_mb":192},
+"channel":"127.0.0.1:2379","known":{"cursor":3,"cmds":[]},"peers":["127.0.0.1:1"],
+"settings":{"fleetSize":4,"classes":[{"name":"space-check","goalTimeMs":2000.0,"deadlineMs":9000,"worth":1}],
+"extra":{"here":2,"releaseMs":500,"resendMs":800,"widths":[4],"classHoldMs":[11400.5],"topology":"meshed"},
+"limits":{"mostTries":5,"cancel":true,"dialTimeoutMs":450,"openCap":20000},
+"rules":{"coldShare":0.29,"rampTimeMs":15000,"fallMultiple":4,"overloadForMs":2000,"answerSlackMs":20}}}`
+
+func TestParse(t *testing.T) {
+	got, err := Parse([]byte(good))
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := &Platform{Name: "n3", Listen: "127.0.0.1:5070", Seed: 0x8c1f30d27a5be964, Sockets: 4096, MemoryMB: 192,
+		Channel: "127.0.0.1:2379", Known: []byte(`{"cursor":3,"cmds":[]}`),
+		Settings: Settings{Classes: map[string]int{"space-check": 0}, DialTimeout: 450 * time.Millisecond, OpenCap: 20000,
+			Brain: brain.Settings{Here: 2, Fleet: 4, MaxAttempts: 5, Release: 500 * time.Millisecond,
+				Resend: 800 * time.Millisecond, ColdRamp: 15 * time.Second, ColdShare: 0.29, FallMultiple: 4,
+				FallWindow: 2 * time.Second, AnswerSlack: 20 * time.Millisecond, CancelAllowed: true,
+				Classes: []brain.Class{{Goal: 2 * time.Second, Deadline: 9 * time.Second, Worth: 1, Width: 4,
+					Hold: 11400500 * time.Microsecond}}}}}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("(-want +got)\n%s", diff)
+	}
+}
+
+// Every error must name the key at fault.
+func TestParseNamesTheKey(t *testing.T) {
+	for _, c := range []struct{ from, to, want string }{
+		{`"listen":"127.0.0.1:5070"`, `"listen":"nowhere"`, "key listen:"},
+		{`"channel":"127.0.0.1:2379",`, ``, "key channel: missing"},
+		{`"seed":"8c1f30d27a5be964"`, `"seed":"green"`, "key seed:"},
+		{`"seed":"8c1f30d27a5be964"`, `"seed":12`, "key seed: a text"},
+		{`"sockets":4096`, `"sockets":"many"`, "key limits.sockets: a number"},
+		{`"sockets":4096`, `"sockets":3`, "key limits.sockets: 3 is not from"},
+		{`"known":{"cursor":3,"cmds":[]}`, `"known":7`, "key known:"},
+		{`"fleetSize":4`, `"fleetSize":2.5`, "key settings.fleetSize: 2.5 is not a whole"},
+		{`"goalTimeMs":2000.0`, `"goalTimeMs":0`, "key settings.classes.0.goalTimeMs:"},
+		{`"deadlineMs":9000,`, ``, "key settings.classes.0.deadlineMs:"},
+		{`"name":"space-check",`, ``, "key settings.classes.0.name:"},
+		{`"widths":[4]`, `"widths":["x"]`, "key settings.extra.widths.0:"},
+		{`"cancel":true`, `"cancel":"yes"`, "key settings.limits.cancel:"},
+		{`"coldShare":0.29`, `"coldShare":29`, "key settings.rules.coldShare:"},
+		{`"classes":[`, `"clashes":[`, "key settings.classes:"},
+		{`{"name":"n3"`, `{"name":"n3`, "not valid JSON"},
+	} {
+		text := strings.Replace(good, c.from, c.to, 1)
+		if text == good {
+			t.Errorf("%s is not in the text", c.from)
+		}
+		if _, err := Parse([]byte(text)); err == nil || !strings.Contains(err.Error(), c.want) {
+			t.Errorf("%s: got %v, want %q in it", c.to, err, c.want)
+		}
+	}
+}
+
+const service = `{"callapi":{"listen":"127.0.0.1:0"},"admin":{"listen":"127.0.0.1:0"},"inventory":"inv.csv"}`
+
+func TestParseService(t *testing.T) {
+	env := func(name string) string {
+		return map[string]string{"VIOLETSPAN_ADMIN_TOKEN": "0123456789abcdef", "SHORT": "short"}[name]
+	}
+	got, err := ParseService([]byte(service), env)
+	want := &Service{CallListen: "127.0.0.1:0", KeepAnswers: time.Minute, MaxKept: 20000, MaxConns: 256,
+		AdminListen: "127.0.0.1:0", AdminTokenHash: tenant.Hash("0123456789abcdef"), Inventory: "inv.csv"}
+	if diff := cmp.Diff(want, got); err != nil || diff != "" {
+		t.Errorf("%v (-want +got)\n%s", err, diff)
+	}
+	for _, c := range []struct{ from, to, want string }{
+		{`"callapi":{"listen":"127.0.0.1:0"}`, `"callapi":{}`, "key callapi.listen: missing"},
+		{`"callapi":{`, `"callapi":{"colour":"red",`, "key callapi.colour: not known"},
+		{`{"callapi"`, `{"tls":true,"callapi"`, "key tls: not known"},
+		{`"admin":{`, `"admin":{"token_env":"SHORT",`, "key admin.token_env: the variable SHORT"},
+		{`"inv.csv"`, `""`, "key inventory: missing"},
+		{`"callapi":{`, `"callapi":{"keep_answers_s":0,`, "key callapi.keep_answers_s:"},
+	} {
+		if _, err := ParseService([]byte(strings.Replace(service, c.from, c.to, 1)), env); err == nil || !strings.Contains(err.Error(), c.want) {
+			t.Errorf("%s: got %v, want %q in it", c.to, err, c.want)
+		}
+	}
+}
+
+// What stands under deploy/ must be readable, with its inventory beside it.
+func TestDeployedServiceFile(t *testing.T) {
+	s, err := LoadService("../../deploy/service.json", func(string) string { return "0123456789abcdef" })
+	if err != nil {
+		t.Fatal(err)
+	}
+	if s.Inventory != "../../deploy/inventory.yaml" || s.Settings == nil || len(s.Settings.Brain.Classes) != 2 {
+		t.Errorf("got %+v", s)
+	}
+}
--- /dev/null
+++ b/internal/core/core_test.go
@@ -0,0 +1,214 @@
+package core
+
+import (
+	"context"
+	"go/parser"
+	"go/token"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"violetspan.example/violetspan/brain"
+)
+
+// fake is a caller and, by its link, all switches. Its channels tell what it saw.
+type fake struct {
+	sent   chan string // "switch set-up", "switch give-up", "switch release", "close switch"
+	told   chan string // what the caller heard
+	before func(on func() bool) error
+}
+
+type fakeLink struct {
+	f  *fake
+	id string
+}
+
+func (l fakeLink) SetUp(_ context.Context, _ *SetUp, _ time.Time, mayGo func() bool) error {
+	if l.f.before != nil {
+		if err := l.f.before(mayGo); err != nil {
+			return err
+		}
+	}
+	l.f.sent <- l.id + " set-up"
+	return nil
+}
+func (l fakeLink) GiveUp(uint64)  { l.f.sent <- l.id + " give-up" }
+func (l fakeLink) Release(uint64) { l.f.sent <- l.id + " release" }
+func (l fakeLink) Close()         { l.f.sent <- "close " + l.id }
+
+func (f *fake) Answer(_ uint64, d []byte) error      { f.told <- "answer " + string(d); return nil }
+func (f *fake) Refuse(_ uint64, again time.Duration) { f.told <- "refused" }
+func (f *fake) Fail(uint64)                          { f.told <- "failed" }
+func (f *fake) Release(_ uint64, cut bool) {
+	f.told <- map[bool]string{true: "cut", false: "ended"}[cut]
+}
+
+func newCore(t *testing.T) (*Core, *fake) {
+	f := &fake{sent: make(chan string, 64), told: make(chan string, 64)}
+	class := brain.Class{Goal: 10 * time.Second, Deadline: 20 * time.Second, Worth: 1, Width: 1}
+	c, err := New(t.Context(), Options{
+		Settings: brain.Settings{Here: 0, Fleet: 2, MaxAttempts: 5, Release: 20 * time.Millisecond,
+			CancelAllowed: true, Classes: []brain.Class{class}},
+		Open: func(m Member) (Link, error) { return fakeLink{f, m.ID}, nil }})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	return c, f
+}
+
+func (f *fake) want(t *testing.T, from chan string, wants ...string) {
+	t.Helper()
+	for _, want := range wants {
+		select {
+		case got := <-from:
+			if got != want {
+				t.Fatalf("got %q, want %q", got, want)
+			}
+		case <-time.After(20 * time.Second):
+			t.Fatalf("nothing came, want %q", want)
+		}
+	}
+}
+
+func offer(t *testing.T, c *Core, f *fake, id uint64, dest int) {
+	t.Helper()
+	if err := c.Offer(&SetUp{ID: id, Number: "100", Dest: dest, Width: 1, Deadline: time.Now().Add(15 * time.Second)}, f); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func list(c *Core, gentle bool, ms ...Member) {
+	c.List(List{Source: "test", Members: ms, Gentle: gentle})
+}
+
+// A dial may outlast a drain: the list is asked again just before the first
+// byte, and what may not go is not sent.
+func TestDrainDuringADialHoldsTheSetUpBack(t *testing.T) {
+	c, f := newCore(t)
+	a := Member{ID: "a", Addr: "x", Number: 1}
+	list(c, false, a)
+	f.before = func(mayGo func() bool) error {
+		a.State = brain.Draining
+		list(c, false, a)
+		if mayGo() {
+			t.Error("a set-up may go to a switch that drains")
+		}
+		return ErrNotSent
+	}
+	offer(t, c, f, 1, 1)
+	f.want(t, f.told, "refused")
+	if len(f.sent) > 0 {
+		t.Errorf("sent %q", <-f.sent)
+	}
+}
+
+// Another switch may take the address of one that has gone: the id tells them
+// apart, and the old one's calls are cut without harm to the new one's.
+func TestAddressTakenByAnotherSwitch(t *testing.T) {
+	c, f := newCore(t)
+	list(c, false, Member{ID: "old", Addr: "x", Number: 1})
+	offer(t, c, f, 1, 1)
+	f.want(t, f.sent, "old set-up")
+	c.Answered("old", 1, []byte("d"))
+	f.want(t, f.told, "answer d")
+	list(c, false, Member{ID: "old", Addr: "x", Number: 1, State: brain.Gone}, Member{ID: "new", Addr: "x", Number: 1})
+	offer(t, c, f, 2, 1)
+	f.want(t, f.sent, "new set-up")
+	f.want(t, f.told, "cut")
+	f.want(t, f.sent, "close old")
+	c.Answered("new", 2, []byte("e"))
+	f.want(t, f.told, "answer e")
+}
+
+// A process that the list says was started anew has lost its calls.
+func TestRestartedSwitchCutsItsCalls(t *testing.T) {
+	c, f := newCore(t)
+	list(c, false, Member{ID: "a", Addr: "x", Number: 1})
+	offer(t, c, f, 1, 1)
+	f.want(t, f.sent, "a set-up")
+	c.Answered("a", 1, nil)
+	f.want(t, f.told, "answer ")
+	list(c, false, Member{ID: "a", Addr: "x", Number: 1, Started: time.Now()})
+	f.want(t, f.told, "cut")
+}
+
+// A switch that leaves an inventory may still run: its calls go on, its link
+// closes with the last of them.
+func TestGentleLeaveKeepsStandingCalls(t *testing.T) {
+	c, f := newCore(t)
+	list(c, true, Member{ID: "a", Addr: "x", Number: 1})
+	offer(t, c, f, 1, 1)
+	f.want(t, f.sent, "a set-up")
+	c.Answered("a", 1, nil)
+	f.want(t, f.told, "answer ")
+	c.List(List{Source: "test", Full: true, Gentle: true})
+	offer(t, c, f, 2, 1)
+	f.want(t, f.told, "refused")
+	c.Ended("a", 1, End{Result: brain.Ended})
+	f.want(t, f.told, "ended")
+	f.want(t, f.sent, "close a")
+}
+
+// A switch that repeats an answer or a release, or answers late, changes nothing.
+func TestRepeatsAndLateAnswers(t *testing.T) {
+	c, f := newCore(t)
+	list(c, false, Member{ID: "a", Addr: "x", Number: 1}, Member{ID: "b", Addr: "y", Number: 2})
+	offer(t, c, f, 1, 1)
+	f.want(t, f.sent, "a set-up")
+	if c.Answered("b", 1, nil) || !c.Answered("a", 1, nil) || c.Answered("a", 1, nil) {
+		t.Error("an answer counts once, and only from where the set-up is")
+	}
+	f.want(t, f.told, "answer ")
+	c.Ended("b", 1, End{Result: brain.Ended})
+	c.Ended("a", 1, End{Result: brain.Ended})
+	c.Ended("a", 1, End{Result: brain.Ended})
+	f.want(t, f.told, "ended")
+	if err := c.Settle(t.Context(), true); err != nil {
+		t.Fatal(err)
+	}
+	if len(f.told)+len(f.sent) > 0 {
+		t.Error("more was said than once")
+	}
+}
+
+// After a reset the call rests before it goes again.
+func TestRestAfterReset(t *testing.T) {
+	c, f := newCore(t)
+	list(c, false, Member{ID: "a", Addr: "x", Number: 1})
+	offer(t, c, f, 1, 1)
+	f.want(t, f.sent, "a set-up")
+	began := time.Now()
+	c.Ended("a", 1, End{Result: brain.Reset})
+	f.want(t, f.sent, "a set-up")
+	if d := time.Since(began); d < 20*time.Millisecond {
+		t.Errorf("sent again after %v", d)
+	}
+	c.Leave(1)
+	f.want(t, f.sent, "a give-up")
+	if err := c.Settle(t.Context(), true); err != nil || len(f.told) > 0 {
+		t.Errorf("%v; a caller that left is owed nothing and heard %d words", err, len(f.told))
+	}
+}
+
+// The core imports no front and no wire.
+func TestImports(t *testing.T) {
+	files, err := filepath.Glob("*.go")
+	if err != nil || len(files) == 0 {
+		t.Fatal(err)
+	}
+	for _, name := range files {
+		f, err := parser.ParseFile(token.NewFileSet(), name, nil, parser.ImportsOnly)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, im := range f.Imports {
+			path := strings.Trim(im.Path.Value, `"`)
+			if strings.HasPrefix(path, "violetspan.example/") && path != "violetspan.example/violetspan/brain" ||
+				strings.HasPrefix(path, "net") {
+				t.Errorf("%s imports %s", name, path)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/tenant/tenant_test.go
@@ -0,0 +1,103 @@
+package tenant
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+func spec(id, token string) Spec { return Spec{ID: id, TokenSHA256: Hash(token)} }
+
+func who(r *Registry, token string) string {
+	id, _ := r.Authenticate(token)
+	return id
+}
+
+func TestSeedIsAllOrNothing(t *testing.T) {
+	r := New(time.Now)
+	if err := errors.Join(r.Create(spec("api", "k"), FromAPI), r.Seed([]Spec{spec("a", "ta"), spec("b", "tb")})); err != nil {
+		t.Fatal(err)
+	}
+	for name, bad := range map[string][]Spec{
+		"an id of the API's":         {spec("c", "tc"), spec("api", "x")},
+		"a token of the API's":       {spec("c", "tc"), spec("d", "k")},
+		"one token twice":            {spec("c", "tc"), spec("d", "tc")},
+		"a spec that can't be":       {spec("c", "tc"), spec("No Good", "x")},
+		"a token that is not a hash": {spec("c", "tc"), {ID: "d", TokenSHA256: "x"}},
+	} {
+		before := r.All()
+		if err := r.Seed(bad); err == nil {
+			t.Errorf("%s: no error", name)
+		}
+		if diff := cmp.Diff(before, r.All()); diff != "" || who(r, "tc") != "" || who(r, "ta") != "a" {
+			t.Errorf("%s: changed something\n%s", name, diff)
+		}
+	}
+}
+
+// Two tenants that swap their tokens must each be known by the other's: filing
+// the second must not drop the first one's.
+func TestSeedSwapsTokensAndDisablesWhatIsInUse(t *testing.T) {
+	r := New(time.Now)
+	for range 20 { // maps are walked in any order
+		if err := r.Seed([]Spec{spec("a", "1"), spec("b", "2"), spec("c", "3")}); err != nil {
+			t.Fatal(err)
+		}
+		if err := r.Seed([]Spec{spec("a", "2"), spec("b", "1"), spec("c", "3")}); err != nil {
+			t.Fatal(err)
+		}
+		if got := who(r, "1") + who(r, "2"); got != "ba" {
+			t.Fatalf("tokens 1 and 2 are %q, want b and a", got)
+		}
+	}
+	r.Begin("c")
+	if err := r.Seed([]Spec{spec("a", "1")}); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := r.Begin("c"); !errors.Is(err, ErrDisabled) {
+		t.Errorf("a tenant in use that left the inventory: got %v, want it disabled", err)
+	}
+	if _, err := r.Get("b"); !errors.Is(err, ErrUnknown) {
+		t.Errorf("a tenant out of use that left the inventory: got %v, want it gone", err)
+	}
+	r.End("c")
+	if err := r.Seed(nil); err != nil || len(r.All()) != 0 {
+		t.Errorf("left: %v, %v", r.All(), err)
+	}
+}
+
+func TestQuotas(t *testing.T) {
+	now := time.Unix(0, 0)
+	r := New(func() time.Time { return now })
+	s := spec("a", "t")
+	s.MaxCalls, s.CallsPerSecond, s.MaxSockets = 3, 2, 1
+	if err := r.Create(s, FromAPI); err != nil {
+		t.Fatal(err)
+	}
+	begin := func(want error, again time.Duration) {
+		t.Helper()
+		if got, err := r.Begin("a"); !errors.Is(err, want) || got != again {
+			t.Errorf("got %v and %v, want %v and %v", err, got, want, again)
+		}
+	}
+	begin(nil, 0)
+	begin(nil, 0)
+	begin(ErrQuota, 500*time.Millisecond) // two a second
+	now = now.Add(500 * time.Millisecond)
+	begin(nil, 0)
+	now = now.Add(time.Second)
+	begin(ErrQuota, 0) // three at once
+	r.End("a")
+	begin(nil, 0)
+	if err := r.Delete("a"); !errors.Is(err, ErrInUse) {
+		t.Errorf("deleted while in use: %v", err)
+	}
+	if err := errors.Join(r.Connect("a"), r.Connect("a")); !errors.Is(err, ErrQuota) {
+		t.Errorf("two connections: %v", err)
+	}
+	if _, err := r.Update("a", func(s *Spec) { s.MaxCalls = -1 }); err == nil {
+		t.Error("a limit below 0 was taken")
+	}
+}
