--- a/cmd/violetspan/main.go
+++ b/cmd/violetspan/main.go
@@ -13,6 +13,7 @@
 	"log/slog"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"violetspan.example/violetspan/internal/config"
@@ -63,6 +64,8 @@
 			return nil, err
 		}
 		log = log.With("proxy", pf.Name)
+		// Collect garbage harder well before the platform would kill for memory.
+		debug.SetMemoryLimit(int64(pf.MemoryMB) << 20 * 3 / 4)
 	}
 	if service != "" {
 		if sv, err = config.LoadService(service, os.Getenv); err != nil {
--- a/internal/platform/front.go
+++ b/internal/platform/front.go
@@ -24,8 +24,8 @@
 
 const (
 	callerWrite = time.Second
-	maxParked   = 4096
-	parkFor     = 8 * time.Second
+	maxOrphans  = 4096
+	orphanFor   = 8 * time.Second
 )
 
 // Front takes calls from callers' connections.
@@ -35,18 +35,26 @@
 	MaxConns int
 	Log      *slog.Logger
 
-	mu     sync.Mutex
-	conns  map[*conn]bool
-	parked []parked // releases that no connection could take yet
-	wg     sync.WaitGroup
+	mu      sync.Mutex
+	conns   map[*conn]bool
+	orphans chan orphan   // releases for any connection; see NewFront
+	arrived chan struct{} // a connection was accepted
+	wg      sync.WaitGroup
 }
 
-type parked struct {
+// orphan is the release of a call whose own connection is gone.
+type orphan struct {
 	id   uint64
 	cut  bool
 	till time.Time
 }
 
+// NewFront makes a front. Its Calls may be set later, but before Serve.
+func NewFront(classes map[string]int, maxConns int, log *slog.Logger) *Front {
+	return &Front{Classes: classes, MaxConns: maxConns, Log: log, conns: map[*conn]bool{},
+		orphans: make(chan orphan, maxOrphans), arrived: make(chan struct{}, 1)}
+}
+
 // conn is one connection from callers.
 type conn struct {
 	front *Front
@@ -57,6 +65,9 @@
 
 // Serve accepts connections until the listener closes.
 func (f *Front) Serve(ln net.Listener) error {
+	quit := make(chan struct{})
+	defer close(quit)
+	f.wg.Go(func() { f.deliver(quit) })
 	for {
 		nc, err := ln.Accept()
 		if errors.Is(err, net.ErrClosed) {
@@ -75,16 +86,16 @@
 			continue
 		}
 		f.wg.Go(c.read)
-		f.unpark()
+		select {
+		case f.arrived <- struct{}{}:
+		default:
+		}
 	}
 }
 
 func (f *Front) add(c *conn) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.conns == nil {
-		f.conns = map[*conn]bool{}
-	}
 	if len(f.conns) >= f.MaxConns {
 		return false
 	}
@@ -231,39 +242,61 @@
 	return sig.WithCause(sig.Release, id, cause)
 }
 
-// Orphan passes on the release of a call whose own connection is gone. It waits
-// for a new connection if there is none.
+// Orphan passes on the release of a call whose own connection is gone. It never
+// blocks: the readers of switches call it, and a slow caller must not hold them.
 func (f *Front) Orphan(id uint64, cut bool) {
-	m := releaseOf(id, cut)
-	f.mu.Lock()
-	conns := make([]*conn, 0, len(f.conns))
-	for c := range f.conns {
-		conns = append(conns, c)
+	select {
+	case f.orphans <- orphan{id, cut, time.Now().Add(orphanFor)}:
+	default:
+		f.Log.Error("a release is lost: too many wait for a connection", "call", fmt.Sprintf("%016x", id))
 	}
-	f.mu.Unlock()
-	for _, c := range conns {
-		if c.send(&m) == nil {
+}
+
+// deliver sends orphans on any connection, or on the next one that opens.
+func (f *Front) deliver(quit <-chan struct{}) {
+	for {
+		select {
+		case o := <-f.orphans:
+			for !f.sendAny(o) {
+				limit := time.NewTimer(time.Until(o.till))
+				select {
+				case <-f.arrived:
+				case <-quit:
+					limit.Stop()
+					return
+				case <-limit.C:
+					f.Log.Error("a release is lost: no connection from callers", "call", fmt.Sprintf("%016x", o.id))
+				}
+				if limit.Stop(); !time.Now().Before(o.till) {
+					break
+				}
+			}
+		case <-quit:
 			return
 		}
 	}
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if len(f.parked) < maxParked {
-		f.parked = append(f.parked, parked{id, cut, time.Now().Add(parkFor)})
-	}
 }
 
-// unpark sends the releases that waited for a connection.
-func (f *Front) unpark() {
+// sendAny sends on any connection, first on those that no one is writing to.
+func (f *Front) sendAny(o orphan) bool {
+	m := releaseOf(o.id, o.cut)
 	f.mu.Lock()
-	held := f.parked
-	f.parked = nil
+	var free, busy []*conn
+	for c := range f.conns {
+		if c.mu.TryLock() {
+			c.mu.Unlock()
+			free = append(free, c)
+		} else {
+			busy = append(busy, c)
+		}
+	}
 	f.mu.Unlock()
-	for _, p := range held {
-		if time.Now().Before(p.till) {
-			f.Orphan(p.id, p.cut)
+	for _, c := range append(free, busy...) {
+		if c.send(&m) == nil {
+			return true
 		}
 	}
+	return false
 }
 
 // answer gives a set-up its final answer.
--- a/internal/proxy/mixed_test.go
+++ b/internal/proxy/mixed_test.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"context"
-	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -15,6 +14,7 @@
 	"time"
 
 	"github.com/coder/websocket"
+	jsoniter "github.com/json-iterator/go"
 
 	"violetspan.example/violetspan/internal/sig"
 )
@@ -35,6 +35,8 @@
 	drained  time.Time // when s1 was told to drain
 }
 
+var json = jsoniter.ConfigCompatibleWithStandardLibrary
+
 const (
 	mixedCalls = 300
 	mixedRest  = 30 * time.Millisecond // releaseMs of the tests' settings
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -53,7 +53,7 @@
 )
 
 const (
-	maxCalls   = 8192
+	maxCalls   = 4096 // each may hold a message of 16 KiB: 64 MiB of the 192 allowed
 	adminConns = 16
 )
 
@@ -220,7 +220,7 @@
 	var set *config.Settings
 	if pf := p.platform; pf != nil {
 		set, opt.Seed = &pf.Settings, pf.Seed
-		p.front = &platform.Front{Classes: set.Classes, MaxConns: pf.Sockets / 2, Log: p.log}
+		p.front = platform.NewFront(set.Classes, pf.Sockets/2, p.log)
 		opt.Orphan = p.front.Orphan
 	} else {
 		set, opt.Seed = p.service.Settings, uint64(time.Now().UnixNano())
