--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -97,7 +97,7 @@
 	base, end := context.WithCancel(context.WithoutCancel(ctx))
 	defer end()
 	g, life := errgroup.WithContext(base)
-	stopFronts, err := p.start(life, g)
+	stop, err := p.start(life, g)
 	if err != nil {
 		end()
 		return errors.Join(err, g.Wait())
@@ -140,20 +140,22 @@
 		owed, standing := p.core.Counts()
 		p.log.Info("calls left at the end", "owed", owed, "standing", standing)
 	}
-	stopFronts()
-	err = p.core.Close()
+	stop()
 	end()
-	return errors.Join(err, g.Wait())
+	return g.Wait()
 }
 
 // start opens what the configuration asks for. The function that it returns
-// closes the fronts.
+// closes it all.
 func (p *Proxy) start(life context.Context, g *errgroup.Group) (stop func(), err error) {
 	var closers []func()
 	stop = func() {
 		for _, f := range closers {
 			f()
 		}
+		if p.core != nil {
+			_ = p.core.Close() // after the fronts, which still tell it of callers that left
+		}
 	}
 	defer func() {
 		if err != nil {
@@ -164,8 +166,6 @@
 	if p.core, err = core.New(life, opt); err != nil {
 		return stop, err
 	}
-	closers = append(closers, func() { _ = p.core.Close() })
-
 	if pf := p.platform; pf != nil {
 		p.front.Calls = p.core
 		channel := &platform.Channel{Addr: pf.Channel, List: p.core.List, Log: p.log}
@@ -177,7 +177,9 @@
 			return stop, fmt.Errorf("key listen: %w", err)
 		}
 		p.CallAddr = ln.Addr()
-		closers = append(closers, p.front.Close, func() { ln.Close() })
+		// The listener first: Front.Close waits for what ends with Serve. The other
+		// order hung every exit.
+		closers = append(closers, func() { ln.Close() }, p.front.Close)
 		g.Go(func() error { return channel.Follow(life) })
 		g.Go(func() error { return p.front.Serve(ln) })
 	}
