Test the administration API, reloads, disabled tenants, tokens, slow readers

Seen: the error body's two keys came in any order (a Go map), now fixed by a struct; the script other-connection failed once in ten, as the release was written to a connection whose close the proxy had not read yet. The script waits for that now.

--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -128,7 +128,11 @@
 func (e refusal) Error() string { return e.detail }
 
 func (e refusal) body() any {
-	return map[string]any{"error": map[string]string{"code": e.code, "detail": e.detail}}
+	type fault struct {
+		Code   string `json:"code"`
+		Detail string `json:"detail"`
+	}
+	return map[string]fault{"error": {e.code, e.detail}}
 }
 
 // serve replies with what a handler returns.
@@ -185,11 +189,17 @@
 		return l, refusal{http.StatusRequestEntityTooLarge, "too_large", err.Error()}
 	}
 	if err := json.Unmarshal(b, &l); err != nil {
-		return l, refusal{http.StatusBadRequest, "bad_request", "not a JSON object of a tenant's fields: " + err.Error()}
+		return l, refusal{http.StatusBadRequest, "bad_request", "not a JSON object of a tenant's fields: " + short(err)}
 	}
 	return l, nil
 }
 
+// short leaves out where in the text the parser stood: it may quote all of it.
+func short(err error) string {
+	why, _, _ := strings.Cut(err.Error(), ", error found in")
+	return why
+}
+
 func (s *Server) create(r *http.Request) (int, any, error) {
 	l, err := body(r)
 	if err != nil {
--- a/internal/platform/front.go
+++ b/internal/platform/front.go
@@ -103,6 +103,13 @@
 	return true
 }
 
+// Conns returns how many connections from callers are open.
+func (f *Front) Conns() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.conns)
+}
+
 // Close closes every connection and waits for their readers.
 func (f *Front) Close() {
 	f.mu.Lock()
--- /dev/null
+++ b/internal/proxy/service_test.go
@@ -0,0 +1,168 @@
+package proxy
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"os"
+	"strings"
+	"testing"
+
+	"github.com/coder/websocket"
+)
+
+// do asks the administration API and returns status and body.
+func (s *script) do(method, path, token, body string) (int, string) {
+	s.t.Helper()
+	req, err := http.NewRequest(method, "http://"+s.p.AdminAddr.String()+path, strings.NewReader(body))
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	req.Header.Set("Authorization", "Bearer "+token)
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	b, err := io.ReadAll(resp.Body)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	return resp.StatusCode, strings.TrimSpace(string(b))
+}
+
+const acme = `{"id":"acme","disabled":false,"max_calls":0,"calls_per_second":0,"max_sockets":0,"origin":"inventory","calls":0,"sockets":0}`
+
+func TestAdministration(t *testing.T) {
+	t.Parallel()
+	s := start(t, "\ns1", settingsJSON)
+	for _, c := range []struct {
+		method, path, token, body string
+		status                    int
+		want                      string // the reply, or how it begins
+	}{
+		{"GET", "/v1/tenants/acme", "wrong", "", 401, `{"error":{"code":"unauthorized"`},
+		{"GET", "/healthz", "", "", 200, "serving"},
+		{"GET", "/v1/status", testToken, "", 200, `{"phase":"serving","calls_unanswered":0,"calls_standing":0}`},
+		{"GET", "/v1/tenants/acme", testToken, "", 200, acme},
+		{"GET", "/v1/tenants/nobody", testToken, "", 404, `{"error":{"code":"not_found"`},
+		{"POST", "/v1/tenants", testToken, `{"id":"acme"}`, 409, `{"error":{"code":"exists"`},
+		{"POST", "/v1/tenants", testToken, `{"id":"new","colour":1}`, 400, `{"error":{"code":"bad_request"`},
+		{"POST", "/v1/tenants", testToken, `{"id":"new","max_calls":-1}`, 400, `{"error":{"code":"bad_request","detail":"max_calls`},
+		{"POST", "/v1/tenants", testToken, `{"id":"new","max_calls":3}`, 201, `{"id":"new","disabled":false,"max_calls":3,`},
+		{"PATCH", "/v1/tenants/new", testToken, `{"disabled":true}`, 200, `{"id":"new","disabled":true,"max_calls":3,`},
+		{"PATCH", "/v1/tenants/new", testToken, `{"id":"old"}`, 400, `{"error":{"code":"bad_request"`},
+		{"POST", "/v1/tenants/new/token", testToken, "", 200, `{"id":"new","disabled":true,"max_calls":3,`},
+		{"DELETE", "/v1/tenants/new", testToken, "", 204, ""},
+		{"DELETE", "/v1/tenants/new", testToken, "", 404, `{"error":{"code":"not_found"`},
+		{"GET", "/v1/switches", testToken, "", 200, `{"switches":[{"id":"id-s1","address":"127.0.0.1:`},
+		{"POST", "/v1/inventory/reload", testToken, "", 204, ""},
+	} {
+		status, got := s.do(c.method, c.path, c.token, c.body)
+		if status != c.status || !strings.HasPrefix(got, c.want) {
+			t.Errorf("%s %s %s: got %d %s, want %d %s", c.method, c.path, c.body, status, got, c.status, c.want)
+		}
+		if strings.Contains(got, "sha256") {
+			t.Errorf("%s %s shows a token's hash: %s", c.method, c.path, got)
+		}
+	}
+}
+
+// A reload is all or nothing: a bad file leaves the switches and tenants alone.
+func TestBadReloadChangesNothing(t *testing.T) {
+	t.Parallel()
+	s := start(t, "\nx1", settingsJSON)
+	good, err := os.ReadFile(s.p.service.Inventory)
+	if err != nil {
+		t.Fatal(err)
+	}
+	bad := strings.Replace(string(good), "acme:", "acme2:", 1) + "        third: {max_calls: many}\n"
+	if err := os.WriteFile(s.p.service.Inventory, []byte(bad), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	status, got := s.do("POST", "/v1/inventory/reload", testToken, "")
+	if status != 422 || !strings.Contains(got, "inventory.yaml:10: key max_calls") {
+		t.Errorf("got %d %s", status, got)
+	}
+	if _, got := s.do("GET", "/v1/tenants/acme", testToken, ""); got != acme {
+		t.Errorf("acme is %s now", got)
+	}
+	// Without its switch it is good, and nothing new goes there.
+	if err := os.WriteFile(s.p.service.Inventory, []byte(strings.Replace(string(good), "        x1:", "        # x1:", 1)), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if status, got := s.do("POST", "/v1/inventory/reload", testToken, ""); status != 204 {
+		t.Errorf("got %d %s", status, got)
+	}
+	s.play(`
+		w1> {"type":"setup","call":"a","class":"space-check","number":"1","dest":1,"wait_ms":9000}
+		w1< {"type":"refused","call":"a","reason":"no_route","retry_after_ms":0}`)
+}
+
+// A disabled tenant's new calls are refused, its standing ones are kept.
+func TestDisabledTenant(t *testing.T) {
+	t.Parallel()
+	s := start(t, "\nx1", settingsJSON)
+	s.play(`
+		w1> {"type":"setup","call":"a","class":"space-check","number":"1","dest":1,"wait_ms":9000}
+		x1< {"type":"setup","call":"{id}","class":"space-check","number":"1","dest":1,"width":1,"wait_ms":0}
+		x1> {"type":"answer","call":"{id}","description":"d"}
+		w1< {"type":"answer","call":"a","description":"d"}`)
+	if status, got := s.do("PATCH", "/v1/tenants/acme", testToken, `{"disabled":true}`); status != 200 {
+		t.Fatalf("got %d %s", status, got)
+	}
+	if status, _ := s.do("DELETE", "/v1/tenants/acme", testToken, ""); status != 409 {
+		t.Errorf("a tenant with calls was deleted: %d", status)
+	}
+	s.play(`
+		w1> {"type":"setup","call":"b","class":"space-check","number":"2","dest":1,"wait_ms":9000}
+		w1< {"type":"refused","call":"b","reason":"disabled"}
+		x1> {"type":"released","call":"{id}","reason":"ended"}
+		w1< {"type":"released","call":"a","reason":"ended"}`)
+}
+
+func TestWrongTokenAndProtocol(t *testing.T) {
+	t.Parallel()
+	s := start(t, "\ns1", settingsJSON)
+	ctx, cancel := context.WithTimeout(t.Context(), patience)
+	defer cancel()
+	if _, resp, err := dialAPI(ctx, s.p, "wrong"); err == nil || resp == nil || resp.StatusCode != http.StatusUnauthorized {
+		t.Errorf("a wrong token: %v", err)
+	}
+	c, _, err := websocket.Dial(ctx, "ws://"+s.p.APIAddr.String()+"/v1/calls",
+		&websocket.DialOptions{HTTPHeader: http.Header{"Authorization": {"Bearer " + testToken}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, _, err := c.Read(ctx); websocket.CloseStatus(err) != websocket.StatusPolicyViolation {
+		t.Errorf("no subprotocol: %v", err)
+	}
+}
+
+// A client that does not read holds up nobody: it is disconnected, and other
+// tenants' calls go on meanwhile.
+func TestSlowReader(t *testing.T) {
+	t.Parallel()
+	s := start(t, "\nx1", settingsJSON)
+	ctx, cancel := context.WithTimeout(t.Context(), patience)
+	defer cancel()
+	slow, _, err := dialAPI(ctx, s.p, testToken)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer slow.CloseNow()
+	long := strings.Repeat("x", 60)
+	go func() { // each is answered with an error of a kind that is not counted as unreadable
+		for ctx.Err() == nil {
+			if slow.Write(ctx, websocket.MessageText, []byte(`{"type":"release","call":"`+long+`"}`)) != nil {
+				return
+			}
+		}
+	}()
+	s.play(`
+		v1> {"type":"setup","call":"a","class":"space-check","number":"1","dest":1,"wait_ms":9000}
+		x1< {"type":"setup","call":"{id}","class":"space-check","number":"1","dest":1,"width":1,"wait_ms":0}
+		x1> {"type":"answer","call":"{id}","description":"d"}
+		v1< {"type":"answer","call":"a","description":"d"}
+		sync sockets 0`)
+}
