Send a release again that its caller's close may have crossed

Seen: the script other-connection lost a release written to a connection whose close was not read yet; TCP reports no error then. Only for callers that acknowledge, so that no other hears one twice. Guarded by the script release-crosses-close.

--- a/internal/callapi/message.go
+++ b/internal/callapi/message.go
@@ -89,7 +89,6 @@
 	codeBadMessage = "bad_message" // no JSON, or a field that can't be
 	codeConflict   = "conflict"    // a known id with other content
 	codeUnknown    = "unknown_call"
-	codeTooLong    = "rate" // too many errors
 )
 
 var json = jsoniter.ConfigCompatibleWithStandardLibrary
--- a/internal/platform/front.go
+++ b/internal/platform/front.go
@@ -26,6 +26,7 @@
 	callerWrite = time.Second
 	maxOrphans  = 4096
 	orphanFor   = 8 * time.Second
+	unheardFor  = 2 * time.Second
 )
 
 // Front takes calls from callers' connections.
@@ -61,6 +62,11 @@
 	net.Conn
 	mu   sync.Mutex      // one message at a time
 	open map[uint64]bool // set-ups taken here and not answered; under front.mu
+
+	// Releases sent here lately and not acknowledged, and whether this caller
+	// acknowledges at all; under front.mu.
+	unheard map[uint64]orphan
+	hears   bool
 }
 
 // Serve accepts connections until the listener closes.
@@ -79,7 +85,7 @@
 			time.Sleep(10 * time.Millisecond)
 			continue
 		}
-		c := &conn{front: f, Conn: nc, open: map[uint64]bool{}}
+		c := &conn{front: f, Conn: nc, open: map[uint64]bool{}, unheard: map[uint64]orphan{}}
 		if !f.add(c) {
 			f.Log.Warn("too many connections from callers", "limit", f.MaxConns)
 			nc.Close()
@@ -138,12 +144,20 @@
 	c.Close()
 	f.mu.Lock()
 	delete(f.conns, c)
-	open := c.open
-	c.open = map[uint64]bool{}
+	open, unheard := c.open, c.unheard
+	c.open, c.unheard = map[uint64]bool{}, map[uint64]orphan{}
+	if !c.hears {
+		unheard = nil
+	}
 	f.mu.Unlock()
 	for id := range open {
 		f.Calls.Leave(id)
 	}
+	for _, o := range unheard {
+		if time.Now().Before(o.till) {
+			f.Orphan(o.id, o.cut) // it may have crossed the close
+		}
+	}
 }
 
 // take acts on one message of a caller, read whole at the given time.
@@ -174,6 +188,11 @@
 		f.mu.Unlock()
 		f.Calls.Leave(m.Call)
 		_ = c.send(&sig.Message{Type: sig.Heard, Call: m.Call})
+	case sig.Heard:
+		f.mu.Lock()
+		c.hears = true
+		delete(c.unheard, m.Call)
+		f.mu.Unlock()
 	case sig.Test:
 		passed := sig.WithCause(sig.Tested, m.Call, 1)
 		_ = c.send(&passed)
@@ -234,10 +253,28 @@
 func (c *conn) Fail(id uint64) { _ = c.answer(id, sig.WithCause(sig.Release, id, sig.CauseTemporary)) }
 
 // Release says that a call that stood is over, on any connection from callers.
+// One that a close crosses is lost without an error, so it is remembered until
+// the caller acknowledges it.
 func (c *conn) Release(id uint64, cut bool) {
+	f, now := c.front, time.Now()
+	f.mu.Lock()
+	for id, o := range c.unheard {
+		if now.After(o.till) {
+			delete(c.unheard, id)
+		}
+	}
+	c.unheard[id] = orphan{id, cut, now.Add(unheardFor)}
+	f.mu.Unlock()
 	m := releaseOf(id, cut)
 	if c.send(&m) != nil {
-		c.front.Orphan(id, cut)
+		f.mu.Lock()
+		_, here := c.unheard[id]
+		delete(c.unheard, id)
+		again := here || !c.hears // else the end of the connection has sent it again
+		f.mu.Unlock()
+		if again {
+			f.Orphan(id, cut)
+		}
 	}
 }
 
