--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -989,3 +989,18 @@
 		t.Errorf("an unsent attempt took the count of ways round from %v to %v", before, r.c.ways)
 	}
 }
+
+// A refused caller hears when to come back, so that it need not try at once.
+func TestRefusalsSayWhenToComeBack(t *testing.T) {
+	s := testSettings()
+	r := newRig(t, s)
+	for _, a := range r.offer("a", 99) {
+		if f, ok := a.(Refuse); ok {
+			if f.After != s.Classes[0].Goal/2 {
+				t.Errorf("come back after %v, want half the goal time", f.After)
+			}
+			return
+		}
+	}
+	t.Error("a call to no exchange was not refused")
+}
