Keep a release for a switch that has no connection yet

Ruled out: the core (it told every link, s1 got its copy). At fault: trunk.Link.Release, the 'conn == nil: return'. Now such releases wait, at most 1,024, and go first on the next connection; a refused dial clears them, as the process and its calls are gone.

--- a/internal/trunk/trunk.go
+++ b/internal/trunk/trunk.go
@@ -64,6 +64,8 @@
 const (
 	redialFirst = 50 * time.Millisecond
 	redialMost  = time.Second
+
+	maxOwed = 1024 // releases kept for a switch without a connection
 )
 
 // Link keeps one connection to one switch: group states and releases come on
@@ -82,6 +84,7 @@
 	mu   sync.Mutex
 	conn Conn
 	open map[uint64]bool // set-ups out on conn, not answered
+	owed []uint64        // releases to send once there is a connection
 	last struct {        // how the last dial went
 		at  time.Time
 		err error
@@ -113,6 +116,9 @@
 			continue
 		} else if errors.Is(err, syscall.ECONNREFUSED) {
 			l.up.Dead(l.member.ID) // nothing listens: its process is gone, and its calls with it
+			l.mu.Lock()
+			l.owed = nil
+			l.mu.Unlock()
 		}
 		again := time.NewTimer(gap)
 		select {
@@ -146,19 +152,25 @@
 	dctx, cancel := context.WithTimeout(l.ctx, l.dialIn)
 	defer cancel()
 	conn, err := l.dial(dctx, l.member.Addr)
+	if err == nil && l.ctx.Err() != nil {
+		conn.Close() // the link was closed during the dial
+		err = l.ctx.Err()
+	}
 	l.mu.Lock()
-	defer l.mu.Unlock()
 	l.last.at, l.last.err = time.Now(), err
 	if err != nil {
+		l.mu.Unlock()
 		l.log.Debug("no connection to a switch", "error", err)
 		return nil, err
 	}
-	if err := l.ctx.Err(); err != nil {
-		conn.Close() // the link was closed during the dial
-		return nil, err
-	}
 	l.conn = conn
+	owed := l.owed
+	l.owed = nil
+	l.mu.Unlock()
 	go l.read(conn)
+	for _, id := range owed {
+		l.Release(id)
+	}
 	return conn, nil
 }
 
@@ -271,10 +283,16 @@
 	l.Release(id)
 }
 
-// Release tells the switch that a call is over. Without a connection now, the
-// switch is told when it speaks of the call again.
+// Release tells the switch that a call is over: now, or without a connection,
+// first thing on the next one. Past maxOwed the switch is told when it speaks
+// of the call again.
 func (l *Link) Release(id uint64) {
-	conn := l.current()
+	l.mu.Lock()
+	conn := l.conn
+	if conn == nil && len(l.owed) < maxOwed {
+		l.owed = append(l.owed, id)
+	}
+	l.mu.Unlock()
 	if conn == nil {
 		return
 	}
--- /dev/null
+++ b/internal/trunk/trunk_test.go
@@ -0,0 +1,83 @@
+package trunk
+
+import (
+	"context"
+	"errors"
+	"io"
+	"log/slog"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"violetspan.example/violetspan/brain"
+	"violetspan.example/violetspan/internal/core"
+)
+
+// recorder is a connection that notes what is written on it.
+type recorder struct {
+	said   chan string
+	closed chan struct{}
+	once   sync.Once
+}
+
+func (r *recorder) Read() (Event, error) {
+	<-r.closed
+	return Event{}, io.EOF
+}
+func (r *recorder) SetUp(s *core.SetUp, _ time.Time) error { return r.note("set up ", s.ID) }
+func (r *recorder) Release(id uint64) error                { return r.note("release ", id) }
+func (r *recorder) Heard(id uint64) error                  { return r.note("heard ", id) }
+func (r *recorder) Passed(id uint64) error                 { return r.note("passed ", id) }
+func (r *recorder) Close() error {
+	r.once.Do(func() { close(r.closed) })
+	return nil
+}
+
+func (r *recorder) note(what string, id uint64) error {
+	r.said <- what + name(id)
+	return nil
+}
+
+// deaf hears nothing of what a switch says.
+type deaf struct{}
+
+func (deaf) Answered(string, uint64, []byte) bool { return false }
+func (deaf) Ended(string, uint64, core.End)       {}
+func (deaf) Group(string, brain.Report)           {}
+func (deaf) Dead(string)                          {}
+
+// Guards against a release that is lost because the switch has no connection
+// at that moment, as in the first instant after a start: the switch would hold
+// the call for good.
+func TestReleaseWaitsForAConnection(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	reachable, tried := make(chan struct{}), make(chan struct{}, 16)
+	conn := &recorder{said: make(chan string, 8), closed: make(chan struct{})}
+	l := New(ctx, core.Member{ID: "s1", Addr: "addr"}, deaf{}, time.Minute, slog.New(slog.DiscardHandler),
+		func(ctx context.Context, _ string) (Conn, error) {
+			tried <- struct{}{}
+			select {
+			case <-reachable:
+				return conn, nil
+			case <-ctx.Done():
+				return nil, errors.New("not reached")
+			}
+		})
+	defer l.Close()
+	<-tried
+	l.Release(0xa1)
+	l.Release(0xb2)
+	close(reachable)
+	got := []string{<-conn.said, <-conn.said}
+	if err := l.SetUp(ctx, &core.SetUp{ID: 0xc3}, time.Now(), nil); err != nil {
+		t.Fatal(err)
+	}
+	got = append(got, <-conn.said)
+	want := []string{"release 00000000000000a1", "release 00000000000000b2", "set up 00000000000000c3"}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("written (-want +got):\n%s", diff)
+	}
+}
