Write what is queued for clients before an exit; bound what one tenant can hold

Seen on reading the code: at an exit the core owes nothing once an answer is queued, and callapi.Front.Close then ended each connection at once. Also: a tenant with ever new ids filled the store of answers for all tenants (now a quarter at most); a hang-up of an unknown call was written by its caller's reader, 400 ms for each switch that doesn't read (now by a goroutine of its own). Links and their goroutines now end with the core, which waits. Ruled out: the platform's front writes answers itself before they count as given.

--- a/internal/callapi/front.go
+++ b/internal/callapi/front.go
@@ -37,9 +37,12 @@
 	Keep    time.Duration // how long an answer is kept for a client that comes back
 	MaxKept int           // calls held at once, those that are over included
 
-	mu    sync.Mutex
-	calls map[key]*call
-	socks map[string]map[*socket]bool // by tenant
+	mu     sync.Mutex
+	calls  map[key]*call
+	kept   map[string]int              // calls held, by tenant
+	socks  map[string]map[*socket]bool // by tenant
+	closed bool
+	serves sync.WaitGroup // connections; grows under mu while not closed
 }
 
 // key names a call: its id is the tenant's own.
@@ -82,6 +85,8 @@
 	socketWrite  = 2 * time.Second
 	pingEvery    = 15 * time.Second
 	pingWait     = 5 * time.Second
+	closeWait    = 2 * time.Second
+	keptShare    = 4  // one tenant holds at most this part of MaxKept
 	maxBad       = 20 // unreadable messages on one socket before it is closed
 	retryDefault = time.Second
 )
@@ -93,6 +98,7 @@
 	conn   *websocket.Conn
 	out    chan message
 	close  context.CancelFunc
+	leave  context.CancelFunc // ends it once what is queued is written
 }
 
 // ServeHTTP takes one client's connection and serves it until it ends.
@@ -124,10 +130,17 @@
 	}
 	conn.SetReadLimit(maxMessage)
 	ctx, cancel := context.WithCancel(r.Context())
-	s := &socket{front: f, tenant: id, conn: conn, out: make(chan message, socketQueue), close: cancel}
+	defer cancel()
+	leaving, leave := context.WithCancel(ctx)
+	defer leave()
+	s := &socket{front: f, tenant: id, conn: conn, out: make(chan message, socketQueue), close: cancel, leave: leave}
+	if !f.join(s) {
+		conn.Close(websocket.StatusGoingAway, "the proxy stops")
+		return
+	}
+	defer f.serves.Done()
 	var wg sync.WaitGroup
-	wg.Go(func() { s.write(ctx) })
-	f.join(s)
+	wg.Go(func() { s.write(ctx, leaving) })
 	err = s.read(ctx)
 	f.leave(s)
 	cancel()
@@ -137,7 +150,7 @@
 
 // write sends what is queued, and pings, until the socket ends. A client that
 // does not read in time loses its connection, and nobody waits for it.
-func (s *socket) write(ctx context.Context) {
+func (s *socket) write(ctx, leaving context.Context) {
 	defer s.close()
 	ping := time.NewTicker(pingEvery)
 	defer ping.Stop()
@@ -150,7 +163,14 @@
 			pctx, cancel := context.WithTimeout(ctx, pingWait)
 			err = s.conn.Ping(pctx)
 			cancel()
-		case <-ctx.Done():
+		case <-leaving.Done():
+			// The proxy stops: what is queued may be the only answer to a call.
+			for len(s.out) > 0 && err == nil {
+				err = write(ctx, s.conn, <-s.out, socketWrite)
+			}
+			if err == nil {
+				s.conn.Close(websocket.StatusGoingAway, "the proxy stops")
+			}
 			return
 		}
 		if err != nil {
@@ -214,12 +234,17 @@
 	errUnknown  = errors.New("no such call")
 )
 
-// join adds a socket and tells it of the ends that none has heard of.
-func (f *Front) join(s *socket) {
+// join adds a socket and tells it of the ends that none has heard of; false if
+// the front is closed.
+func (f *Front) join(s *socket) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.closed {
+		return false
+	}
+	f.serves.Add(1)
 	if f.socks == nil {
-		f.socks, f.calls = map[string]map[*socket]bool{}, map[key]*call{}
+		f.socks, f.calls, f.kept = map[string]map[*socket]bool{}, map[key]*call{}, map[string]int{}
 	}
 	if f.socks[s.tenant] == nil {
 		f.socks[s.tenant] = map[*socket]bool{}
@@ -231,6 +256,7 @@
 			s.tell(k.released)
 		}
 	}
+	return true
 }
 
 // leave removes a socket. A call that nobody waits for any more is given up,
@@ -267,15 +293,28 @@
 	}
 }
 
-// Close closes every connection.
+// Close closes every connection once what is queued on it is written, and
+// waits for that, but not long.
 func (f *Front) Close() {
 	f.mu.Lock()
-	defer f.mu.Unlock()
+	f.closed = true
 	for _, socks := range f.socks {
 		for s := range socks {
-			s.close()
+			s.leave()
 		}
 	}
+	f.mu.Unlock()
+	late := time.AfterFunc(closeWait, func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		for _, socks := range f.socks {
+			for s := range socks {
+				s.close()
+			}
+		}
+	})
+	defer late.Stop()
+	f.serves.Wait()
 }
 
 // setUp takes a set-up. One that is known joins the first: there is one call
@@ -303,11 +342,12 @@
 		return nil
 	}
 	k := &call{front: f, key: id, core: rand.Uint64(), content: c, watchers: map[*socket]bool{s: true}}
-	if len(f.calls) >= f.MaxKept {
-		s.tell(k.refusal(reasonBusy, retryDefault))
+	if len(f.calls) >= f.MaxKept || f.kept[s.tenant] >= max(1, f.MaxKept/keptShare) {
+		s.tell(k.refusal(reasonBusy, retryDefault)) // a share each: no tenant takes the room of all
 		return nil
 	}
 	f.calls[id] = k
+	f.kept[s.tenant]++
 	if again, err := f.Tenants.Begin(s.tenant); err != nil {
 		reason := reasonQuota
 		if !errors.Is(err, tenant.ErrQuota) {
@@ -430,6 +470,9 @@
 		k.front.mu.Lock()
 		defer k.front.mu.Unlock()
 		delete(k.front.calls, k.key)
+		if k.front.kept[k.key.tenant]--; k.front.kept[k.key.tenant] == 0 {
+			delete(k.front.kept, k.key.tenant)
+		}
 	})
 }
 
--- /dev/null
+++ b/internal/callapi/front_test.go
@@ -0,0 +1,127 @@
+package callapi
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/coder/websocket"
+
+	"violetspan.example/violetspan/internal/core"
+	"violetspan.example/violetspan/internal/tenant"
+)
+
+// offers is a core that hands each call it is offered to the test.
+type offers chan core.Caller
+
+func (o offers) Offer(_ *core.SetUp, from core.Caller) error { o <- from; return nil }
+func (o offers) Leave(uint64)                                {}
+
+// newFront serves a front with the tenants "acme" and "other", whose tokens
+// are their names and "-token".
+func newFront(t *testing.T, maxKept int) (f *Front, o offers, dial func(tenant string) *websocket.Conn) {
+	o = make(offers, 1000)
+	f = &Front{Calls: o, Tenants: tenant.New(time.Now), Classes: map[string]Class{"space-check": {Width: 1}},
+		Log: slog.New(slog.DiscardHandler), Keep: time.Minute, MaxKept: maxKept}
+	for _, id := range []string{"acme", "other"} {
+		if err := f.Tenants.Create(tenant.Spec{ID: id, TokenSHA256: tenant.Hash(id + "-token")}, "test"); err != nil {
+			t.Fatal(err)
+		}
+	}
+	srv := httptest.NewServer(f)
+	t.Cleanup(srv.Close)
+	return f, o, func(id string) *websocket.Conn {
+		c, _, err := websocket.Dial(t.Context(), "ws"+strings.TrimPrefix(srv.URL, "http"), &websocket.DialOptions{
+			Subprotocols: []string{Protocol}, HTTPHeader: http.Header{"Authorization": {"Bearer " + id + "-token"}}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { c.CloseNow() })
+		return c
+	}
+}
+
+func ask(t *testing.T, c *websocket.Conn, call int) {
+	t.Helper()
+	err := c.Write(t.Context(), websocket.MessageText, fmt.Appendf(nil,
+		`{"type":"setup","call":"%d","class":"space-check","number":"4711","dest":2,"wait_ms":60000}`, call))
+	if err != nil {
+		t.Fatal(err)
+	}
+}
+
+// Guards against an exit that overtakes answers: they were queued for a client,
+// the core owed none any more, and the connection closed before they left.
+func TestCloseWritesWhatIsQueued(t *testing.T) {
+	f, o, dial := newFront(t, 1000)
+	c := dial("acme")
+	const calls = 200
+	var taken []core.Caller
+	for n := range calls {
+		ask(t, c, n)
+		taken = append(taken, <-o)
+	}
+	for _, k := range taken {
+		if err := k.Answer(0, []byte("made")); err != nil {
+			t.Fatal(err)
+		}
+	}
+	closed := make(chan struct{})
+	go func() {
+		f.Close()
+		close(closed)
+	}()
+	for n := range calls {
+		if m, err := read(t.Context(), c); err != nil || m.Type != typeAnswer {
+			t.Fatalf("after %d answers: %+v, %v", n, m, err)
+		}
+	}
+	if _, err := read(t.Context(), c); websocket.CloseStatus(err) != websocket.StatusGoingAway {
+		t.Errorf("ended with %v, want a close that says 'going away'", err)
+	}
+	<-closed
+}
+
+// Guards against an exit that hangs on a client that reads nothing.
+func TestCloseDoesNotWaitForASlowClient(t *testing.T) {
+	f, o, dial := newFront(t, 1000)
+	ask(t, dial("acme"), 1)
+	if err := (<-o).Answer(0, []byte(strings.Repeat("x", maxDescription))); err != nil {
+		t.Fatal(err)
+	}
+	f.Close() // the client reads neither the answer nor the close
+}
+
+// Guards against a tenant that fills the store of answers with new ids until
+// no other tenant's calls are taken.
+func TestOneTenantCantTakeTheRoomOfAll(t *testing.T) {
+	_, o, dial := newFront(t, 2*keptShare)
+	c := dial("acme")
+	for n := range 10 {
+		ask(t, c, n)
+	}
+	for n := range 8 {
+		m, err := read(t.Context(), c)
+		if err != nil || m.Type != typeRefused || m.Reason != reasonBusy || m.RetryAfterMs <= 0 {
+			t.Fatalf("refusal %d: %+v, %v", n, m, err)
+		}
+	}
+	if len(o) != 2 {
+		t.Errorf("%d calls of a tenant offered, want its share of 2", len(o))
+	}
+	ask(t, dial("other"), 1)
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+	defer cancel()
+	for n := range 3 {
+		select {
+		case <-o:
+		case <-ctx.Done():
+			t.Fatalf("%d calls offered, want the other tenant's too", n)
+		}
+	}
+}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -102,6 +102,7 @@
 	cutLinger    = 1500 * time.Millisecond
 	endedMemory  = 30 * time.Second
 	maxEnded     = 1 << 15
+	maxStrays    = 1024
 	epoch        = 24 * time.Hour // the module's clock at the start: switches may be older
 )
 
@@ -111,7 +112,9 @@
 	log   *slog.Logger
 	start time.Time
 	ctx   context.Context
-	group *errgroup.Group
+	group *errgroup.Group // the calls
+	side  errgroup.Group  // what nobody waits for but Close; begun under mu, and not once closed
+	stray chan stray      // hang-ups of calls that are not known here
 
 	mu      sync.Mutex // guards all below
 	brain   *brain.Controller
@@ -120,10 +123,10 @@
 	members map[string]*member
 	ended   map[uint64]time.Time // calls that were answered and are over
 	swept   time.Time
-	owed    int           // calls that wait for their final answer
-	changed chan struct{} // closed when owed or len(calls) falls
-	leaving []*member     // switches that left, where calls still stand
-	stopped bool          // no new calls
+	owed    int              // calls that wait for their final answer
+	changed chan struct{}    // closed when owed or len(calls) falls
+	leaving map[*member]bool // switches that left, whose links are still open
+	stopped bool             // no new calls
 	closed  bool
 }
 
@@ -131,6 +134,13 @@
 	Member
 	link   Link
 	source string
+	gentle bool // it left, and its link stays until nothing stands there
+}
+
+// stray is the hang-up of a call that is not known here.
+type stray struct {
+	id    uint64
+	links []Link
 }
 
 // New makes a core that runs until the context ends.
@@ -146,9 +156,11 @@
 		opt.MaxCalls = 8192
 	}
 	g, ctx := errgroup.WithContext(ctx)
-	return &Core{opt: opt, log: opt.Log, start: time.Now(), ctx: ctx, group: g, brain: b,
-		calls: map[uint64]*call{}, names: map[string]*call{}, members: map[string]*member{},
-		ended: map[uint64]time.Time{}, changed: make(chan struct{})}, nil
+	c := &Core{opt: opt, log: opt.Log, start: time.Now(), ctx: ctx, group: g, brain: b,
+		calls: map[uint64]*call{}, names: map[string]*call{}, members: map[string]*member{}, leaving: map[*member]bool{},
+		ended: map[uint64]time.Time{}, changed: make(chan struct{}), stray: make(chan stray, maxStrays)}
+	c.side.Go(c.hangUpStrays)
+	return c, nil
 }
 
 // clock turns a time into the module's.
@@ -280,31 +292,49 @@
 // moment, after which what stands is cut.
 func (c *Core) retire(m *member, gentle bool) {
 	delete(c.members, m.ID)
+	m.gentle = gentle
+	c.leaving[m] = true
 	if gentle {
-		c.leaving = append(c.leaving, m)
 		c.sweepLeaving()
 		return
 	}
 	time.AfterFunc(cutLinger, func() {
 		c.mu.Lock()
+		defer c.mu.Unlock()
 		if c.members[m.ID] == nil {
 			c.cutAll(m.ID)
 		}
-		c.mu.Unlock()
-		m.link.Close()
+		c.closeLink(m)
 	})
 }
 
-// sweepLeaving closes the links to switches that left and have no call any more.
+// sweepLeaving closes the links to switches that left gently and have no call
+// any more.
 func (c *Core) sweepLeaving() {
-	c.leaving = slices.DeleteFunc(c.leaving, func(m *member) bool {
+	for m := range c.leaving {
+		if !m.gentle {
+			continue
+		}
+		inUse := false
 		for _, k := range c.calls {
-			if k.out == m.ID {
-				return false
-			}
+			inUse = inUse || k.out == m.ID
 		}
-		go m.link.Close()
-		return true
+		if !inUse {
+			c.closeLink(m)
+		}
+	}
+}
+
+// closeLink closes the link to a switch that left. A Link's Close waits for
+// readers that may be about to take the lock, so it is not called under it.
+func (c *Core) closeLink(m *member) {
+	if c.closed || !c.leaving[m] {
+		return // Close does it, or did
+	}
+	delete(c.leaving, m)
+	c.side.Go(func() error {
+		m.link.Close()
+		return nil
 	})
 }
 
@@ -373,8 +403,28 @@
 	if k != nil {
 		k.leave()
 	}
-	for _, l := range links {
-		l.Release(id)
+	if len(links) == 0 {
+		return
+	}
+	select {
+	case c.stray <- stray{id, links}:
+	default:
+		c.log.Warn("too many hang-ups of calls that are not known here", "call", fmt.Sprintf("%016x", id))
+	}
+}
+
+// hangUpStrays tells every switch of such a call's end. It has a goroutine of
+// its own, as a switch that does not read would hold up the caller's reader.
+func (c *Core) hangUpStrays() error {
+	for {
+		select {
+		case s := <-c.stray:
+			for _, l := range s.links {
+				l.Release(s.id)
+			}
+		case <-c.ctx.Done():
+			return nil
+		}
 	}
 }
 
@@ -472,17 +522,22 @@
 		k.leave()
 	}
 	c.mu.Unlock()
-	err := c.group.Wait()
+	err := c.group.Wait() // ends the context too, and hangUpStrays with it
 	c.mu.Lock()
-	defer c.mu.Unlock()
-	for id, m := range c.members {
-		m.link.Close()
-		delete(c.members, id)
+	var links []Link
+	for _, m := range c.members {
+		links = append(links, m.link)
 	}
-	for _, m := range c.leaving {
-		m.link.Close()
+	for m := range c.leaving {
+		links = append(links, m.link)
+	}
+	clear(c.members)
+	clear(c.leaving)
+	c.mu.Unlock()
+	for _, l := range links {
+		l.Close()
 	}
-	return err
+	return errors.Join(err, c.side.Wait())
 }
 
 func (c *Core) isClosed() bool {
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -17,6 +17,7 @@
 	sent   chan string // "switch set-up", "switch give-up", "switch release", "close switch"
 	told   chan string // what the caller heard
 	before func(on func() bool) error
+	stuck  chan struct{} // holds every release to a switch until it closes
 }
 
 type fakeLink struct {
@@ -33,9 +34,14 @@
 	l.f.sent <- l.id + " set-up"
 	return nil
 }
-func (l fakeLink) GiveUp(uint64)  { l.f.sent <- l.id + " give-up" }
-func (l fakeLink) Release(uint64) { l.f.sent <- l.id + " release" }
-func (l fakeLink) Close()         { l.f.sent <- "close " + l.id }
+func (l fakeLink) GiveUp(uint64) { l.f.sent <- l.id + " give-up" }
+func (l fakeLink) Release(uint64) {
+	if l.f.stuck != nil {
+		<-l.f.stuck
+	}
+	l.f.sent <- l.id + " release"
+}
+func (l fakeLink) Close() { l.f.sent <- "close " + l.id }
 
 func (f *fake) Answer(_ uint64, d []byte) error      { f.told <- "answer " + string(d); return nil }
 func (f *fake) Refuse(_ uint64, again time.Duration) { f.told <- "refused" }
@@ -212,3 +218,16 @@
 		}
 	}
 }
+
+// Guards against a switch that does not read: a hang-up of a call that is not
+// known here goes to it too, and held its caller's reader up for each write.
+func TestStrayHangUpsDoNotWaitForSwitches(t *testing.T) {
+	c, f := newCore(t)
+	f.stuck = make(chan struct{})
+	list(c, false, Member{ID: "a", Addr: "x", Number: 1})
+	for id := range uint64(3) {
+		c.Leave(id) // hangs here if it writes itself
+	}
+	close(f.stuck)
+	f.want(t, f.sent, "a release", "a release", "a release")
+}
--- a/internal/trunk/trunk.go
+++ b/internal/trunk/trunk.go
@@ -12,6 +12,8 @@
 	"syscall"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"violetspan.example/violetspan/brain"
 	"violetspan.example/violetspan/internal/core"
 )
@@ -78,11 +80,13 @@
 	dialIn time.Duration
 	ctx    context.Context
 	stop   context.CancelFunc
-	turn   chan struct{} // held by whoever dials
-	lost   chan struct{} // a connection has ended: the keeper dials again
+	group  errgroup.Group // the keeper and the readers
+	turn   chan struct{}  // held by whoever dials
+	lost   chan struct{}  // a connection has ended: the keeper dials again
 
 	mu   sync.Mutex
 	conn Conn
+	done bool            // closed: no new reader
 	open map[uint64]bool // set-ups out on conn, not answered
 	owed []uint64        // releases to send once there is a connection
 	last struct {        // how the last dial went
@@ -99,12 +103,12 @@
 	l := &Link{member: m, up: up, log: log.With("switch", m.ID, "addr", m.Addr), dial: dial, dialIn: dialIn,
 		turn: make(chan struct{}, 1), lost: make(chan struct{}, 1), open: map[uint64]bool{}}
 	l.ctx, l.stop = context.WithCancel(ctx)
-	go l.keep()
+	l.group.Go(l.keep)
 	return l
 }
 
 // keep holds a connection up until the link closes.
-func (l *Link) keep() {
+func (l *Link) keep() error {
 	gap := redialFirst
 	for l.ctx.Err() == nil {
 		if _, err := l.connect(l.ctx); err == nil {
@@ -128,6 +132,7 @@
 		}
 		gap = min(2*gap, redialMost)
 	}
+	return nil
 }
 
 // connect returns the connection, dialling if there is none. Who waits while
@@ -152,11 +157,11 @@
 	dctx, cancel := context.WithTimeout(l.ctx, l.dialIn)
 	defer cancel()
 	conn, err := l.dial(dctx, l.member.Addr)
-	if err == nil && l.ctx.Err() != nil {
+	l.mu.Lock()
+	if err == nil && l.done {
 		conn.Close() // the link was closed during the dial
-		err = l.ctx.Err()
+		err = context.Canceled
 	}
-	l.mu.Lock()
 	l.last.at, l.last.err = time.Now(), err
 	if err != nil {
 		l.mu.Unlock()
@@ -166,8 +171,11 @@
 	l.conn = conn
 	owed := l.owed
 	l.owed = nil
+	l.group.Go(func() error {
+		l.read(conn)
+		return nil
+	})
 	l.mu.Unlock()
-	go l.read(conn)
 	for _, id := range owed {
 		l.Release(id)
 	}
@@ -301,12 +309,17 @@
 	}
 }
 
-// Close ends the link.
+// Close ends the link and waits for its goroutines.
 func (l *Link) Close() {
 	l.stop()
-	if conn := l.current(); conn != nil {
+	l.mu.Lock()
+	l.done = true
+	conn := l.conn
+	l.mu.Unlock()
+	if conn != nil {
 		conn.Close()
 	}
+	_ = l.group.Wait()
 }
 
 func name(id uint64) string { return fmt.Sprintf("%016x", id) }
