Bound silent callers, half messages and the bytes that kept answers take

Seen on reading the code: connections from callers had no read deadline, so 512 silent ones would hold every descriptor there is for callers; half a message held one for good; 20,000 kept answers of 8 KiB come to 160 of 192 MB; and a set-up repeated on a second connection was given up when that one closed, though the first one's caller waited. After: 60 s of silence without an open set-up, 10 s for the rest of a message, 32 MiB for kept descriptions with a quarter of it a tenant, and a repeat that owns nothing. Ruled out: queues of slow clients hold the kept answers' own strings.

--- a/internal/callapi/front.go
+++ b/internal/callapi/front.go
@@ -39,12 +39,21 @@
 
 	mu     sync.Mutex
 	calls  map[key]*call
-	kept   map[string]int              // calls held, by tenant
+	kept   usage                       // what calls holds
+	shares map[string]usage            // ... by tenant
 	socks  map[string]map[*socket]bool // by tenant
 	closed bool
 	serves sync.WaitGroup // connections; grows under mu while not closed
 }
 
+// usage is what calls take up: their number and their descriptions' bytes.
+type usage struct{ calls, bytes int }
+
+func (u *usage) add(calls, bytes int) {
+	u.calls += calls
+	u.bytes += bytes
+}
+
 // key names a call: its id is the tenant's own.
 type key struct{ tenant, id string }
 
@@ -73,6 +82,7 @@
 
 	// Under the front's lock:
 	state    state
+	bytes    int  // counted in the front's usage
 	begun    bool // it counts in the tenant's quota
 	watchers map[*socket]bool
 	answer   message // the one final answer
@@ -86,7 +96,8 @@
 	pingEvery    = 15 * time.Second
 	pingWait     = 5 * time.Second
 	closeWait    = 2 * time.Second
-	keptShare    = 4  // one tenant holds at most this part of MaxKept
+	maxKeptBytes = 32 << 20
+	keptShare    = 4  // one tenant holds at most this part of what is kept
 	maxBad       = 20 // unreadable messages on one socket before it is closed
 	retryDefault = time.Second
 )
@@ -244,7 +255,7 @@
 	}
 	f.serves.Add(1)
 	if f.socks == nil {
-		f.socks, f.calls, f.kept = map[string]map[*socket]bool{}, map[key]*call{}, map[string]int{}
+		f.socks, f.calls, f.shares = map[string]map[*socket]bool{}, map[key]*call{}, map[string]usage{}
 	}
 	if f.socks[s.tenant] == nil {
 		f.socks[s.tenant] = map[*socket]bool{}
@@ -342,12 +353,12 @@
 		return nil
 	}
 	k := &call{front: f, key: id, core: rand.Uint64(), content: c, watchers: map[*socket]bool{s: true}}
-	if len(f.calls) >= f.MaxKept || f.kept[s.tenant] >= max(1, f.MaxKept/keptShare) {
-		s.tell(k.refusal(reasonBusy, retryDefault)) // a share each: no tenant takes the room of all
+	if !f.hasRoom(s.tenant) {
+		s.tell(k.refusal(reasonBusy, retryDefault))
 		return nil
 	}
 	f.calls[id] = k
-	f.kept[s.tenant]++
+	k.count(1, len(c.description)+maxDescription) // the answer's is not known yet
 	if again, err := f.Tenants.Begin(s.tenant); err != nil {
 		reason := reasonQuota
 		if !errors.Is(err, tenant.ErrQuota) {
@@ -365,6 +376,27 @@
 	return nil
 }
 
+// hasRoom says whether a tenant may have another call kept. Each has a share, so
+// that none takes the room of all.
+func (f *Front) hasRoom(tenant string) bool {
+	t := f.shares[tenant]
+	return f.kept.calls < f.MaxKept && f.kept.bytes < maxKeptBytes &&
+		t.calls < max(1, f.MaxKept/keptShare) && t.bytes < maxKeptBytes/keptShare
+}
+
+// count adds to what is kept, or takes from it.
+func (k *call) count(calls, bytes int) {
+	f := k.front
+	k.bytes += bytes
+	f.kept.add(calls, bytes)
+	t := f.shares[k.key.tenant]
+	t.add(calls, bytes)
+	f.shares[k.key.tenant] = t
+	if t == (usage{}) {
+		delete(f.shares, k.key.tenant)
+	}
+}
+
 // check reads what a set-up asks for; an error names the field.
 func (f *Front) check(m message) (c content, wait time.Duration, err error) {
 	class, known := f.Classes[m.Class]
@@ -431,6 +463,7 @@
 	}
 	m.Call = k.key.id
 	k.answer = m
+	k.count(0, len(m.Description)+len(m.DescriptionB64)-maxDescription)
 	k.state = over
 	if m.Type == typeAnswer {
 		k.state = stands
@@ -470,9 +503,7 @@
 		k.front.mu.Lock()
 		defer k.front.mu.Unlock()
 		delete(k.front.calls, k.key)
-		if k.front.kept[k.key.tenant]--; k.front.kept[k.key.tenant] == 0 {
-			delete(k.front.kept, k.key.tenant)
-		}
+		k.count(-1, -k.bytes)
 	})
 }
 
--- a/internal/callapi/front_test.go
+++ b/internal/callapi/front_test.go
@@ -125,3 +125,47 @@
 		}
 	}
 }
+
+// Guards against answers that take all the memory there is: what is kept is
+// bounded by its bytes, and all of it is given back in the end.
+func TestWhatIsKeptIsCountedInBytes(t *testing.T) {
+	f, o, dial := newFront(t, 1000)
+	f.Keep = time.Nanosecond
+	c := dial("acme")
+	kept := func() usage {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		return f.kept
+	}
+	for n := range 3 {
+		ask(t, c, n)
+		k := <-o
+		if got, want := kept(), (usage{1, maxDescription}); got != want {
+			t.Errorf("kept %+v while the answer is owed, want %+v", got, want)
+		}
+		if err := k.Answer(0, []byte("made")); err != nil {
+			t.Fatal(err)
+		}
+		if got, want := kept(), (usage{1, len("made")}); got != want {
+			t.Errorf("kept %+v while the call stands, want %+v", got, want)
+		}
+		k.Release(0, false)
+		for end := time.Now().Add(20 * time.Second); kept() != (usage{}); time.Sleep(time.Millisecond) {
+			if time.Now().After(end) {
+				t.Fatalf("kept %+v after the call's end", kept())
+			}
+		}
+	}
+	f.mu.Lock()
+	f.shares = map[string]usage{"acme": {1, maxKeptBytes / keptShare}}
+	f.mu.Unlock()
+	for range 6 { // three answers and three releases
+		if _, err := read(t.Context(), c); err != nil {
+			t.Fatal(err)
+		}
+	}
+	ask(t, c, 10)
+	if m, err := read(t.Context(), c); err != nil || m.Reason != reasonBusy {
+		t.Errorf("past the share: %+v, %v", m, err)
+	}
+}
--- a/internal/platform/front.go
+++ b/internal/platform/front.go
@@ -8,6 +8,7 @@
 	"io"
 	"log/slog"
 	"net"
+	"os"
 	"strconv"
 	"sync"
 	"time"
@@ -27,6 +28,7 @@
 	maxOrphans  = 4096
 	orphanFor   = 8 * time.Second
 	unheardFor  = 2 * time.Second
+	callerIdle  = time.Minute // a connection without an open set-up that is silent for so long is closed
 )
 
 // Front takes calls from callers' connections.
@@ -35,6 +37,8 @@
 	Classes  map[string]int // places of the classes
 	MaxConns int
 	Log      *slog.Logger
+	idle     time.Duration
+	rest     time.Duration // how long a message may take once it has begun
 
 	mu      sync.Mutex
 	conns   map[*conn]bool
@@ -52,7 +56,7 @@
 
 // NewFront makes a front. Its Calls may be set later, but before Serve.
 func NewFront(classes map[string]int, maxConns int, log *slog.Logger) *Front {
-	return &Front{Classes: classes, MaxConns: maxConns, Log: log, conns: map[*conn]bool{},
+	return &Front{Classes: classes, MaxConns: maxConns, Log: log, idle: callerIdle, rest: messageRest, conns: map[*conn]bool{},
 		orphans: make(chan orphan, maxOrphans), arrived: make(chan struct{}, 1)}
 }
 
@@ -134,7 +138,16 @@
 	var err error
 	for err == nil {
 		var m sig.Message
-		if m, err = sig.Read(in); err == nil {
+		if err = begun(c.Conn, in, time.Now().Add(f.idle)); errors.Is(err, os.ErrDeadlineExceeded) {
+			if err = nil; c.owes() {
+				continue
+			}
+			err = io.EOF // closed for its silence: no more news than an end
+		}
+		if err == nil {
+			m, err = finish(c.Conn, in, f.rest)
+		}
+		if err == nil {
 			c.take(&m, time.Now())
 		}
 	}
@@ -160,21 +173,35 @@
 	}
 }
 
+// owes says whether a set-up that came on the connection waits for its answer.
+func (c *conn) owes() bool {
+	c.front.mu.Lock()
+	defer c.front.mu.Unlock()
+	return len(c.open) > 0
+}
+
 // take acts on one message of a caller, read whole at the given time.
 func (c *conn) take(m *sig.Message, at time.Time) {
 	f := c.front
 	switch m.Type {
 	case sig.SetUp:
 		s, err := f.setUp(m, at)
+		was := false
 		if err == nil {
 			f.mu.Lock()
-			c.open[s.ID] = true
+			was, c.open[s.ID] = c.open[s.ID], true
 			f.mu.Unlock()
 			err = f.Calls.Offer(s, c)
 		}
 		switch {
 		case errors.Is(err, core.ErrKnown):
-			// Its first copy is answered where it came in.
+			// Its first copy is answered where it came in, and is not given up when
+			// this connection closes.
+			if !was {
+				f.mu.Lock()
+				delete(c.open, s.ID)
+				f.mu.Unlock()
+			}
 			f.Log.Warn("set-up of a known call", "call", fmt.Sprintf("%016x", m.Call))
 		case errors.Is(err, core.ErrBusy):
 			c.Refuse(m.Call, 0)
--- a/internal/platform/link.go
+++ b/internal/platform/link.go
@@ -17,7 +17,30 @@
 	"violetspan.example/violetspan/internal/trunk"
 )
 
-const readBuffer = 4 << 10
+const (
+	readBuffer  = 4 << 10
+	messageRest = 10 * time.Second // a message that has begun ends within this
+)
+
+// begun waits for the first byte of a message; without a limit if until is zero.
+func begun(c net.Conn, in *bufio.Reader, until time.Time) error {
+	if in.Buffered() > 0 {
+		return nil
+	}
+	if err := c.SetReadDeadline(until); err != nil {
+		return err
+	}
+	_, err := in.Peek(1)
+	return err
+}
+
+// finish reads the message that has begun.
+func finish(c net.Conn, in *bufio.Reader, within time.Duration) (sig.Message, error) {
+	if err := c.SetReadDeadline(time.Now().Add(within)); err != nil {
+		return sig.Message{}, err
+	}
+	return sig.Read(in)
+}
 
 // switchConn is a connection to a switch; see trunk.Conn.
 type switchConn struct {
@@ -37,7 +60,10 @@
 
 // Read reads the next message. What is malformed ends the connection.
 func (c *switchConn) Read() (trunk.Event, error) {
-	m, err := sig.Read(c.in)
+	if err := begun(c.Conn, c.in, time.Time{}); err != nil {
+		return trunk.Event{}, err
+	}
+	m, err := finish(c.Conn, c.in, messageRest)
 	if err != nil {
 		return trunk.Event{}, err
 	}
--- a/internal/proxy/script_test.go
+++ b/internal/proxy/script_test.go
@@ -408,8 +408,7 @@
 }
 
 // sync waits until the proxy is as told: "gone ID", "draining ID", "calls OWED
-// STANDING", "sockets N" of the tenant acme,
-// "conns N" from callers.
+// STANDING", "sockets N" of the tenant acme, "conns N" from callers.
 func (s *script) sync(ctx context.Context, what string) {
 	for {
 		owed, standing := s.p.core.Counts()
