--- a/brain/interface.go
+++ b/brain/interface.go
@@ -1,6 +1,11 @@
 package brain
 
-import "time"
+import (
+	"fmt"
+	"math"
+	"strconv"
+	"time"
+)
 
 // Settings is what a controller is told once, at its start. Zero values are
 // legal wherever a deployment has no such fact.
@@ -119,6 +124,36 @@
 // NoReport is a report in which nothing is known.
 var NoReport = Report{Free: -1, Size: -1, Wait: -1, Queue: -1, Util: -1, Rate: -1, HoldBack: -1}
 
+// Set fills in a figure by the name that the platform's reports have for it. An
+// unknown name is skipped, and a value below 0 means that it is not known.
+func (r *Report) Set(name, value string) error {
+	x, err := strconv.ParseFloat(value, 64)
+	if err != nil || math.IsNaN(x) || math.IsInf(x, 0) {
+		return fmt.Errorf("%q is not a number", value)
+	}
+	if x < 0 {
+		return nil
+	}
+	x = min(x, math.MaxInt32)
+	switch name {
+	case "spare":
+		r.Free = int(x)
+	case "total":
+		r.Size = int(x)
+	case "mean_ms":
+		r.Wait = time.Duration(x * float64(time.Millisecond))
+	case "depth":
+		r.Queue = x
+	case "load_share":
+		r.Util = x
+	case "allowed":
+		r.Rate = x
+	case "cut_by":
+		r.HoldBack = x
+	}
+	return nil
+}
+
 // State is a processor's state on the list.
 type State uint8
 
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -546,28 +546,8 @@
 		if v == "" || v == "-" {
 			continue
 		}
-		x, perr := strconv.ParseFloat(v, 64)
-		if perr != nil || math.IsNaN(x) || math.IsInf(x, 0) {
-			return r, f.bad("feedback", fmt.Sprintf("%q is not a number", v))
-		}
-		if x < 0 {
-			continue
-		}
-		switch columns[i] {
-		case "spare":
-			r.Free = int(min(x, math.MaxInt32))
-		case "total":
-			r.Size = int(min(x, math.MaxInt32))
-		case "mean_ms":
-			r.Wait = fromMs(x)
-		case "depth":
-			r.Queue = x
-		case "load_share":
-			r.Util = x
-		case "allowed":
-			r.Rate = x
-		case "cut_by":
-			r.HoldBack = x
+		if err := r.Set(columns[i], v); err != nil {
+			return r, f.bad("feedback", err.Error())
 		}
 	}
 	return r, nil
