Serve the hosted service over TLS where a certificate is given

Bearer tokens went in the clear, and the docs sent operators to another program for TLS. Now keys tls.cert and tls.key cover both listeners; SIGHUP and the reload request read them anew, with the inventory, all or nothing. Switches may be wss://. Tested with certificates made in the test: plain connections are refused, a renewed one is taken, a bad one changes nothing and names its key.

--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -4,12 +4,12 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"fmt"
 	"log/slog"
 	"net"
 	"net/http"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -69,6 +69,7 @@
 	api     *callapi.Front
 	tenants *tenant.Registry
 	reload  sync.Mutex
+	cert    atomic.Pointer[tls.Certificate] // of the hosted service; nil: no TLS
 	// Where it listens, for those who let the system choose the ports.
 	CallAddr, APIAddr, AdminAddr net.Addr
 }
@@ -230,7 +231,7 @@
 	opt.Settings, opt.MaxCalls = set.Brain, min(set.OpenCap, maxCalls)
 	opt.Open = func(m core.Member) (core.Link, error) {
 		dial := platform.Dial
-		if strings.HasPrefix(m.Addr, "ws://") {
+		if inventory.IsURL(m.Addr) {
 			dial = callapi.Dial
 		} else if _, _, err := net.SplitHostPort(m.Addr); err != nil {
 			return nil, err
@@ -240,17 +241,23 @@
 	return set, opt
 }
 
-// listenHTTP serves a handler on an address.
+// listenHTTP serves a handler on an address, with TLS if there is a certificate.
 func (p *Proxy) listenHTTP(life context.Context, g *errgroup.Group, key, addr string, conns int, h http.Handler) (net.Addr, func(), error) {
 	ln, err := platform.Listen(life, addr)
 	if err != nil {
 		return nil, nil, fmt.Errorf("key %s: %w", key, err)
 	}
+	served := netutil.LimitListener(ln, conns)
+	if p.cert.Load() != nil {
+		// Asked for at each handshake: a reload may have brought a new one.
+		served = tls.NewListener(served, &tls.Config{MinVersion: tls.VersionTLS12,
+			GetCertificate: func(*tls.ClientHelloInfo) (*tls.Certificate, error) { return p.cert.Load(), nil }})
+	}
 	srv := &http.Server{Handler: h, ReadHeaderTimeout: 5 * time.Second, ReadTimeout: 10 * time.Second,
 		WriteTimeout: 10 * time.Second, IdleTimeout: time.Minute, MaxHeaderBytes: 16 << 10,
 		ErrorLog: slog.NewLogLogger(p.log.Handler(), slog.LevelWarn)}
 	g.Go(func() error {
-		if err := srv.Serve(netutil.LimitListener(ln, conns)); !errors.Is(err, http.ErrServerClosed) {
+		if err := srv.Serve(served); !errors.Is(err, http.ErrServerClosed) {
 			return fmt.Errorf("key %s: %w", key, err)
 		}
 		return nil
@@ -258,7 +265,8 @@
 	return ln.Addr(), func() { srv.Close() }, nil
 }
 
-// Reload reads the inventory anew: all of it counts, or with an error nothing.
+// Reload reads the inventory and the certificate anew: all of it counts, or with
+// an error nothing.
 func (p *Proxy) Reload() error {
 	p.reload.Lock()
 	defer p.reload.Unlock()
@@ -266,9 +274,14 @@
 	if err != nil {
 		return err
 	}
+	cert, err := p.service.Certificate()
+	if err != nil {
+		return err
+	}
 	if err := p.tenants.Seed(inv.Tenants); err != nil {
 		return fmt.Errorf("%s: %w", p.service.Inventory, err)
 	}
+	p.cert.Store(cert)
 	p.core.List(core.List{Source: "inventory", Full: true, Members: inv.Switches, Gentle: true})
 	p.log.Info("inventory loaded", "switches", len(inv.Switches), "tenants", len(inv.Tenants))
 	return nil
--- a/internal/proxy/service_test.go
+++ b/internal/proxy/service_test.go
@@ -2,13 +2,26 @@
 
 import (
 	"context"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"encoding/pem"
 	"io"
+	"math/big"
+	"net"
 	"net/http"
 	"os"
+	"path/filepath"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/coder/websocket"
+
+	"violetspan.example/violetspan/internal/callapi"
+	"violetspan.example/violetspan/internal/config"
 )
 
 // do asks the administration API and returns status and body.
@@ -166,3 +179,76 @@
 		v1< {"type":"answer","call":"a","description":"d"}
 		sync sockets 0`)
 }
+
+// newCert writes a certificate for 127.0.0.1 and its key, and returns the pool
+// that trusts it.
+func newCert(t *testing.T, cert, key string) *x509.CertPool {
+	t.Helper()
+	private, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		t.Fatal(err)
+	}
+	form := &x509.Certificate{SerialNumber: big.NewInt(1), NotAfter: time.Now().Add(time.Hour), IPAddresses: []net.IP{{127, 0, 0, 1}}}
+	der, err := x509.CreateCertificate(rand.Reader, form, form, private.Public(), private)
+	if err != nil {
+		t.Fatal(err)
+	}
+	b, err := x509.MarshalPKCS8PrivateKey(private)
+	if err != nil {
+		t.Fatal(err)
+	}
+	pool := x509.NewCertPool()
+	for file, block := range map[string]*pem.Block{cert: {Type: "CERTIFICATE", Bytes: der}, key: {Type: "PRIVATE KEY", Bytes: b}} {
+		if err := os.WriteFile(file, pem.EncodeToMemory(block), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	pool.AppendCertsFromPEM(pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: der}))
+	return pool
+}
+
+// With a certificate both listeners speak TLS only. A reload takes a new one,
+// and a bad one changes nothing.
+func TestTLS(t *testing.T) {
+	t.Parallel()
+	dir := t.TempDir()
+	cert, key := filepath.Join(dir, "cert.pem"), filepath.Join(dir, "key.pem")
+	first := newCert(t, cert, key)
+	s := startWith(t, "\nx1", settingsJSON, func(sv *config.Service) { sv.TLSCert, sv.TLSKey = cert, key })
+	reach := func(pool *x509.CertPool) error {
+		client := &http.Client{Transport: &http.Transport{TLSClientConfig: &tls.Config{RootCAs: pool}, DisableKeepAlives: true}}
+		resp, err := client.Get("https://" + s.p.AdminAddr.String() + "/healthz")
+		if err != nil {
+			return err
+		}
+		resp.Body.Close()
+		c, _, err := websocket.Dial(t.Context(), "wss://"+s.p.APIAddr.String()+"/v1/calls", &websocket.DialOptions{HTTPClient: client,
+			Subprotocols: []string{callapi.Protocol}, HTTPHeader: http.Header{"Authorization": {"Bearer " + testToken}}})
+		if err == nil {
+			c.CloseNow()
+		}
+		return err
+	}
+	if err := reach(first); err != nil {
+		t.Error(err)
+	}
+	if _, _, err := dialAPI(t.Context(), s.p, testToken); err == nil {
+		t.Error("the call API takes connections without TLS")
+	}
+	second := newCert(t, cert, key)
+	if err := s.p.Reload(); err != nil {
+		t.Fatal(err)
+	}
+	if err := os.WriteFile(cert, []byte("no certificate"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if err := s.p.Reload(); err == nil || !strings.Contains(err.Error(), "key tls:") {
+		t.Errorf("a bad certificate: %v", err)
+	}
+	if err := reach(second); err != nil {
+		t.Error(err)
+	}
+	if reach(first) == nil {
+		t.Error("the old certificate is still in use")
+	}
+}
