End the call API's standing calls at an exit, and tell their clients

Seen on reading the code: calls of the API that stood at an exit went on at their switches, and after a restart nobody knows their clients: neither would hear of an end. Now they are released towards both. A hang-up in the moment of the exit was lost, as the core took it for its own closing; and answers were waited for 15 s where a client may wait 60. The platform's standing calls go on as before.

--- a/internal/callapi/front.go
+++ b/internal/callapi/front.go
@@ -305,16 +305,27 @@
 }
 
 // Close closes every connection once what is queued on it is written, and
-// waits for that, but not long.
+// waits for that, but not long. What stands is ended: after an exit nobody could
+// tell its client of its end.
 func (f *Front) Close() {
 	f.mu.Lock()
 	f.closed = true
+	var ended []uint64
+	for _, k := range f.calls {
+		if k.state == stands {
+			k.end(reasonCut)
+			ended = append(ended, k.core)
+		}
+	}
 	for _, socks := range f.socks {
 		for s := range socks {
 			s.leave()
 		}
 	}
 	f.mu.Unlock()
+	for _, id := range ended {
+		f.Calls.Leave(id)
+	}
 	late := time.AfterFunc(closeWait, func() {
 		f.mu.Lock()
 		defer f.mu.Unlock()
--- a/internal/core/call.go
+++ b/internal/core/call.go
@@ -24,6 +24,7 @@
 	host     string // the last switch that a set-up was for
 	answered bool   // that switch answered
 	paid     bool   // the final answer was given
+	shut     bool   // Close left it
 
 	// The goroutine's own:
 	sends    int
@@ -145,7 +146,7 @@
 				c.settle(k, send, sent, r.end, true)
 				k.caller.Release(k.ID, r.end.Result != brain.Ended)
 			case <-k.ctx.Done():
-				if c.ctx.Err() == nil && !c.isClosed() {
+				if !c.isShut(k) {
 					l.Release(k.ID)
 				}
 				c.settle(k, send, sent, End{Result: brain.Cancelled}, true)
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -519,7 +519,10 @@
 	c.mu.Lock()
 	c.closed = true
 	for _, k := range c.calls {
-		k.leave()
+		if k.ctx.Err() == nil {
+			k.shut = true // nobody hung up: what stands goes on without this proxy
+			k.leave()
+		}
 	}
 	c.mu.Unlock()
 	err := c.group.Wait() // ends the context too, and hangUpStrays with it
@@ -540,10 +543,11 @@
 	return errors.Join(err, c.side.Wait())
 }
 
-func (c *Core) isClosed() bool {
+// isShut says whether a call was left by Close and by nobody else.
+func (c *Core) isShut(k *call) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.closed
+	return k.shut || c.ctx.Err() != nil
 }
 
 // paid notes that a call's final answer was given.
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -231,3 +231,26 @@
 	close(f.stuck)
 	f.want(t, f.sent, "a release", "a release", "a release")
 }
+
+// Guards against a hang-up that is lost at an exit, and against an exit that
+// hangs up what stands: its release is passed on by the next proxy.
+func TestCloseReleasesOnlyWhatWasHungUp(t *testing.T) {
+	for _, hungUp := range []bool{true, false} {
+		c, f := newCore(t)
+		list(c, false, Member{ID: "a", Addr: "x", Number: 1})
+		offer(t, c, f, 1, 1)
+		f.want(t, f.sent, "a set-up")
+		c.Answered("a", 1, []byte("d"))
+		f.want(t, f.told, "answer d")
+		if hungUp {
+			c.Leave(1)
+		}
+		if err := c.Close(); err != nil {
+			t.Error(err)
+		}
+		if hungUp {
+			f.want(t, f.sent, "a release")
+		}
+		f.want(t, f.sent, "close a")
+	}
+}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -49,7 +49,7 @@
 const (
 	graceFor  = 700 * time.Millisecond
 	finishFor = 2700 * time.Millisecond // for releases of what stands
-	answerFor = 15 * time.Second        // for answers; callers wait less
+	answerFor = 65 * time.Second        // for answers; clients of the call API wait for a minute at most
 )
 
 const (
