Hold the call API's calls by tenant; check that both fronts fit the descriptors

Seen on reading the code: each connection that came or went walked over the calls of all tenants under the front's lock, 20,000 at most, so one tenant's reconnects cost every tenant's answers time. Now a connection walks over its own tenant's calls. Platform and service had each their limit on connections and together could pass the descriptors there are; a start now checks it, and the error names the key. Tests for both; ruled out: a leak of what is held for a tenant (a test waits until it is gone).

--- a/internal/callapi/front.go
+++ b/internal/callapi/front.go
@@ -38,14 +38,20 @@
 	MaxKept int           // calls held at once, those that are over included
 
 	mu     sync.Mutex
-	calls  map[key]*call
-	kept   usage                       // what calls holds
-	shares map[string]usage            // ... by tenant
-	socks  map[string]map[*socket]bool // by tenant
+	shares map[string]*share // by tenant
+	kept   usage             // of all tenants
 	closed bool
 	serves sync.WaitGroup // connections; grows under mu while not closed
 }
 
+// share is what the front holds for one tenant. What a tenant's connections do
+// costs time by its own calls, not by everyone's.
+type share struct {
+	calls map[string]*call // by id
+	socks map[*socket]bool
+	used  usage
+}
+
 // usage is what calls take up: their number and their descriptions' bytes.
 type usage struct{ calls, bytes int }
 
@@ -254,15 +260,10 @@
 		return false
 	}
 	f.serves.Add(1)
-	if f.socks == nil {
-		f.socks, f.calls, f.shares = map[string]map[*socket]bool{}, map[key]*call{}, map[string]usage{}
-	}
-	if f.socks[s.tenant] == nil {
-		f.socks[s.tenant] = map[*socket]bool{}
-	}
-	f.socks[s.tenant][s] = true
-	for _, k := range f.calls {
-		if k.untold && k.key.tenant == s.tenant {
+	sh := f.share(s.tenant)
+	sh.socks[s] = true
+	for _, k := range sh.calls {
+		if k.untold {
 			k.untold = false
 			s.tell(k.released)
 		}
@@ -270,16 +271,38 @@
 	return true
 }
 
+// share returns what is held for a tenant; tidy drops it once that is nothing.
+func (f *Front) share(tenant string) *share {
+	if f.shares == nil {
+		f.shares = map[string]*share{}
+	}
+	if f.shares[tenant] == nil {
+		f.shares[tenant] = &share{calls: map[string]*call{}, socks: map[*socket]bool{}}
+	}
+	return f.shares[tenant]
+}
+
+func (f *Front) tidy(tenant string) {
+	if sh := f.shares[tenant]; sh != nil && len(sh.calls) == 0 && len(sh.socks) == 0 {
+		delete(f.shares, tenant)
+	}
+}
+
+// Held returns for how many tenants anything is held.
+func (f *Front) Held() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.shares)
+}
+
 // leave removes a socket. A call that nobody waits for any more is given up,
 // and that is its one answer.
 func (f *Front) leave(s *socket) {
 	var gone []uint64
 	f.mu.Lock()
-	delete(f.socks[s.tenant], s)
-	if len(f.socks[s.tenant]) == 0 {
-		delete(f.socks, s.tenant)
-	}
-	for _, k := range f.calls {
+	sh := f.share(s.tenant)
+	delete(sh.socks, s)
+	for _, k := range sh.calls {
 		if !k.watchers[s] {
 			continue
 		}
@@ -289,6 +312,7 @@
 			gone = append(gone, k.core)
 		}
 	}
+	f.tidy(s.tenant)
 	f.mu.Unlock()
 	for _, id := range gone {
 		f.Calls.Leave(id)
@@ -299,8 +323,10 @@
 func (f *Front) Disconnect(tenant string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	for s := range f.socks[tenant] {
-		s.close()
+	if sh := f.shares[tenant]; sh != nil {
+		for s := range sh.socks {
+			s.close()
+		}
 	}
 }
 
@@ -311,14 +337,14 @@
 	f.mu.Lock()
 	f.closed = true
 	var ended []uint64
-	for _, k := range f.calls {
-		if k.state == stands {
-			k.end(reasonCut)
-			ended = append(ended, k.core)
+	for _, sh := range f.shares {
+		for _, k := range sh.calls {
+			if k.state == stands {
+				k.end(reasonCut)
+				ended = append(ended, k.core)
+			}
 		}
-	}
-	for _, socks := range f.socks {
-		for s := range socks {
+		for s := range sh.socks {
 			s.leave()
 		}
 	}
@@ -329,8 +355,8 @@
 	late := time.AfterFunc(closeWait, func() {
 		f.mu.Lock()
 		defer f.mu.Unlock()
-		for _, socks := range f.socks {
-			for s := range socks {
+		for _, sh := range f.shares {
+			for s := range sh.socks {
 				s.close()
 			}
 		}
@@ -348,8 +374,9 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	id := key{s.tenant, m.Call}
-	if k := f.calls[id]; k != nil {
+	sh := f.share(s.tenant)
+	defer f.tidy(s.tenant)
+	if k := sh.calls[m.Call]; k != nil {
 		if k.content != c {
 			return errConflict
 		}
@@ -363,12 +390,12 @@
 		}
 		return nil
 	}
-	k := &call{front: f, key: id, core: rand.Uint64(), content: c, watchers: map[*socket]bool{s: true}}
-	if !f.hasRoom(s.tenant) {
+	k := &call{front: f, key: key{s.tenant, m.Call}, core: rand.Uint64(), content: c, watchers: map[*socket]bool{s: true}}
+	if !f.hasRoom(sh) {
 		s.tell(k.refusal(reasonBusy, retryDefault))
 		return nil
 	}
-	f.calls[id] = k
+	sh.calls[m.Call] = k
 	k.count(1, len(c.description)+maxDescription) // the answer's is not known yet
 	if again, err := f.Tenants.Begin(s.tenant); err != nil {
 		reason := reasonQuota
@@ -389,23 +416,16 @@
 
 // hasRoom says whether a tenant may have another call kept. Each has a share, so
 // that none takes the room of all.
-func (f *Front) hasRoom(tenant string) bool {
-	t := f.shares[tenant]
+func (f *Front) hasRoom(sh *share) bool {
 	return f.kept.calls < f.MaxKept && f.kept.bytes < maxKeptBytes &&
-		t.calls < max(1, f.MaxKept/keptShare) && t.bytes < maxKeptBytes/keptShare
+		sh.used.calls < max(1, f.MaxKept/keptShare) && sh.used.bytes < maxKeptBytes/keptShare
 }
 
 // count adds to what is kept, or takes from it.
 func (k *call) count(calls, bytes int) {
-	f := k.front
 	k.bytes += bytes
-	f.kept.add(calls, bytes)
-	t := f.shares[k.key.tenant]
-	t.add(calls, bytes)
-	f.shares[k.key.tenant] = t
-	if t == (usage{}) {
-		delete(f.shares, k.key.tenant)
-	}
+	k.front.kept.add(calls, bytes)
+	k.front.share(k.key.tenant).used.add(calls, bytes)
 }
 
 // check reads what a set-up asks for; an error names the field.
@@ -443,7 +463,7 @@
 // and hangs up one that stands.
 func (f *Front) release(s *socket, m message) error {
 	f.mu.Lock()
-	k := f.calls[key{s.tenant, m.Call}]
+	k := f.share(s.tenant).calls[m.Call]
 	if k == nil {
 		f.mu.Unlock()
 		return errUnknown
@@ -496,7 +516,7 @@
 	k.released = message{Type: typeReleased, Call: k.key.id, Reason: reason}
 	to := k.watchers
 	if len(to) == 0 {
-		to = k.front.socks[k.key.tenant]
+		to = k.front.share(k.key.tenant).socks
 	}
 	for s := range to {
 		s.tell(k.released)
@@ -513,8 +533,9 @@
 	time.AfterFunc(k.front.Keep, func() {
 		k.front.mu.Lock()
 		defer k.front.mu.Unlock()
-		delete(k.front.calls, k.key)
 		k.count(-1, -k.bytes)
+		delete(k.front.share(k.key.tenant).calls, k.key.id)
+		k.front.tidy(k.key.tenant)
 	})
 }
 
--- a/internal/callapi/front_test.go
+++ b/internal/callapi/front_test.go
@@ -174,7 +174,7 @@
 		}
 	}
 	f.mu.Lock()
-	f.shares = map[string]usage{"acme": {1, maxKeptBytes / keptShare}}
+	f.share("acme").used = usage{1, maxKeptBytes / keptShare}
 	f.mu.Unlock()
 	for range 6 { // three answers and three releases
 		if _, err := read(t.Context(), c); err != nil {
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -55,6 +55,8 @@
 const (
 	maxCalls   = 4096 // each may hold a message of 16 KiB: 64 MiB of the 192 allowed
 	adminConns = 16
+
+	otherSockets = 64 // switches, listeners, the command channel, the log
 )
 
 // Proxy is one signalling proxy.
@@ -79,6 +81,10 @@
 	if pf == nil && (sv == nil || sv.Settings == nil) {
 		return nil, errors.New("key settings: missing, and no platform gives them")
 	}
+	if pf != nil && sv != nil && pf.Sockets/2+sv.MaxConns+adminConns+otherSockets > pf.Sockets {
+		return nil, fmt.Errorf("key callapi.max_connections: %d is too many beside the platform's callers with %d descriptors in all",
+			sv.MaxConns, pf.Sockets)
+	}
 	return &Proxy{platform: pf, service: sv, log: log}, nil
 }
 
--- a/internal/proxy/service_test.go
+++ b/internal/proxy/service_test.go
@@ -9,6 +9,7 @@
 	"crypto/x509"
 	"encoding/pem"
 	"io"
+	"log/slog"
 	"math/big"
 	"net"
 	"net/http"
@@ -252,3 +253,31 @@
 		t.Error("the old certificate is still in use")
 	}
 }
+
+// Guards against two fronts that share one limit on descriptors and could each
+// use it up.
+func TestConnectionsFitTheDescriptors(t *testing.T) {
+	for conns, want := range map[int]string{432: "", 433: "key callapi.max_connections: 433"} {
+		_, err := New(&config.Platform{Sockets: 1024}, &config.Service{MaxConns: conns}, slog.New(slog.DiscardHandler))
+		if (err == nil) != (want == "") || err != nil && !strings.HasPrefix(err.Error(), want) {
+			t.Errorf("%d connections: got %v, want %q", conns, err, want)
+		}
+	}
+}
+
+// A client that left no trace takes no memory: what was held for its tenant is
+// gone with its last connection and call.
+func TestNothingIsHeldForATenantThatIsGone(t *testing.T) {
+	t.Parallel()
+	s := start(t, "\nx1", settingsJSON)
+	s.play(`
+		w1> {"type":"release","call":"a"}
+		w1< {"type":"error","call":"a","code":"unknown_call","detail":"no such call"}
+		w1 close
+		sync sockets 0`)
+	for end := time.Now().Add(patience); s.p.api.Held() != 0; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("%d tenants held", s.p.api.Held())
+		}
+	}
+}
