--- a/internal/callapi/front_test.go
+++ b/internal/callapi/front_test.go
@@ -210,3 +210,24 @@
 		}
 	}
 }
+
+// A description passes through unchanged, text or not, and has one form only.
+func TestDescriptions(t *testing.T) {
+	for _, b := range []string{"", "text", "\xff\x00binary"} {
+		var m message
+		m.describe([]byte(b))
+		got, err := m.described()
+		if err != nil || string(got) != b {
+			t.Errorf("%q came out as %q, %v", b, got, err)
+		}
+	}
+	for why, m := range map[string]message{
+		"given twice":      {Description: "a", DescriptionB64: "YQ=="},
+		"not base64":       {DescriptionB64: "?"},
+		"longer than 8192": {Description: strings.Repeat("x", maxDescription+1)},
+	} {
+		if _, err := m.described(); err == nil || !strings.Contains(err.Error(), why) {
+			t.Errorf("got %v, want %q", err, why)
+		}
+	}
+}
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -1,6 +1,8 @@
 package config
 
 import (
+	"os"
+	"path/filepath"
 	"strings"
 	"testing"
 	"time"
@@ -36,6 +38,27 @@
 	}
 }
 
+func TestFromEnv(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "config.json")
+	if err := os.WriteFile(file, []byte(good), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range []struct{ config, name, listen, want string }{
+		{file, "n3", "127.0.0.1:5070", ""},
+		{file, "", "", ""},
+		{"", "n3", "", "ROUTER_CONFIG: not set"},
+		{file + "x", "n3", "", "ROUTER_CONFIG: "},
+		{file, "n4", "", "ROUTER_NAME: \"n4\""},
+		{file, "n3", "127.0.0.1:1", "ROUTER_LISTEN: \"127.0.0.1:1\""},
+	} {
+		env := map[string]string{"ROUTER_CONFIG": c.config, "ROUTER_NAME": c.name, "ROUTER_LISTEN": c.listen}
+		p, err := FromEnv(func(name string) string { return env[name] })
+		if c.want == "" && (err != nil || p.Name != "n3") || c.want != "" && (err == nil || !strings.HasPrefix(err.Error(), c.want)) {
+			t.Errorf("%+v: got %v, %v", c, p, err)
+		}
+	}
+}
+
 // Every error must name the key at fault.
 func TestParseNamesTheKey(t *testing.T) {
 	for _, c := range []struct{ from, to, want string }{
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -172,6 +172,28 @@
 	}
 }
 
+// A refusal says when to dial again only where the settings allow it.
+func TestRefusalsAdvise(t *testing.T) {
+	mk := func(brain.Settings, uint64) (Decider, error) {
+		return &recorder{acts: []brain.Action{brain.Refuse{Call: "c", After: 1500 * time.Millisecond}}}, nil
+	}
+	for setting, want := range map[string]string{
+		"limits.retryAfter=true": "1500", "limits.retryAfter=false": "0", "": "0",
+	} {
+		settings := strings.Replace(launch, "limits.probes=true", "limits.probes=true "+setting, 1)
+		if setting == "" {
+			settings = launch
+		}
+		var out bytes.Buffer
+		if err := Serve(strings.NewReader("SYNC 1\n"+settings+"BELL proxy-0 1\nFLUSH\n"), &out, io.Discard, mk); err != nil {
+			t.Fatal(err)
+		}
+		if want := "NOT_NOW proxy-0 c " + want + "\nOK\n"; out.String() != want {
+			t.Errorf("%q: wrote\n%swant\n%s", setting, out.String(), want)
+		}
+	}
+}
+
 func TestEventsAndSettingsAreTranslated(t *testing.T) {
 	var rec recorder
 	mk := func(s brain.Settings, _ uint64) (Decider, error) { rec.s = s; return &rec, nil }
