Reread the configuration on SIGHUP and move to the new command channel

Proxy.Reload read p.service, which is nil on the platform (internal/proxy/proxy.go, first lines of Reload), and nothing read the file named by ROUTER_CONFIG again, so the new channel address was never taken.

Checked: the log of n0 ends at the signal, with no phase line: a panic, not an exit by phase. The lost call was on that node at that moment.

Now: the configuration is read and checked whole, then the channel moves; the poll at the old address is ended at once, known and then the cursor go on. A bad file changes nothing and its key is logged. A poll waits 1 s rather than 5 s and has a deadline of 1.5 s, as a channel may stop and stay open.

Test: the script 'reload' (bad file, then two moves, under a standing call); it fails without the change, as does any SIGHUP on the platform.

--- a/cmd/violetspan/main.go
+++ b/cmd/violetspan/main.go
@@ -72,7 +72,11 @@
 			return nil, err
 		}
 	}
-	return proxy.New(pf, sv, log)
+	p, err := proxy.New(pf, sv, log)
+	if err == nil && pf != nil {
+		p.Reread = func() (*config.Platform, error) { return config.FromEnv(os.Getenv) }
+	}
+	return p, err
 }
 
 // hups turns SIGHUP into requests to reload; those that come during one are one.
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -11,6 +11,7 @@
 	"net"
 	"os"
 	"path/filepath"
+	"reflect"
 	"slices"
 	"strconv"
 	"strings"
@@ -108,6 +109,24 @@
 	return p, r.err
 }
 
+// Fixed names the first key in which a configuration read later differs and
+// which a running proxy can't take over, or is empty.
+func (p *Platform) Fixed(later *Platform) string {
+	for _, k := range []struct {
+		key    string
+		differ bool
+	}{
+		{"limits.sockets", p.Sockets != later.Sockets},
+		{"limits.memory_mb", p.MemoryMB != later.MemoryMB},
+		{"settings", !reflect.DeepEqual(p.Settings, later.Settings)},
+	} {
+		if k.differ {
+			return k.key
+		}
+	}
+	return ""
+}
+
 // Service is where the hosted service listens and what it serves. Its file
 // stands under deploy/; without one the service is off.
 type Service struct {
--- a/internal/platform/channel.go
+++ b/internal/platform/channel.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/url"
 	"strconv"
+	"sync"
 	"time"
 
 	jsoniter "github.com/json-iterator/go"
@@ -17,9 +18,12 @@
 	"violetspan.example/violetspan/internal/core"
 )
 
+// A channel may stop and stay open. What it has to tell then counts as told some
+// time after the wait that was asked for, or at once if it is asked again; so the
+// wait is short, and a poll that outlasts it is ended and asked anew.
 const (
-	pollBlock    = 5 * time.Second
-	pollTimeout  = pollBlock + 1500*time.Millisecond // a poll that is silent for longer is asked anew
+	pollBlock    = time.Second
+	pollTimeout  = pollBlock + 500*time.Millisecond
 	maxEventsLen = 4 << 20
 	channelFirst = 20 * time.Millisecond
 	channelMost  = 500 * time.Millisecond
@@ -31,7 +35,26 @@
 	List func(core.List)
 	Log  *slog.Logger
 
+	cursor int64 // the last event taken; the follower's own
+	mu     sync.Mutex
+	moved  *Events            // what Move brought and the follower has not taken; under mu, as Addr is
+	stop   context.CancelFunc // ends the poll that runs; under mu
+}
+
+// NewChannel makes a channel that List hears of.
+func NewChannel(addr string, list func(core.List), log *slog.Logger) *Channel {
+	return &Channel{Addr: addr, List: list, Log: log, stop: func() {}}
+}
+
+// Events are events in the channel's form, read and checked.
+type Events struct {
+	cursor int64
+	lists  []numbered
+}
+
+type numbered struct {
 	cursor int64
+	list   core.List
 }
 
 type events struct {
@@ -57,34 +80,79 @@
 
 var phases = map[string]brain.State{"up": brain.Ready, "draining": brain.Draining, "removed": brain.Gone}
 
-// Take takes in events in the channel's form, in their order.
-func (c *Channel) Take(b []byte) error {
-	var ev events
-	if err := jsoniter.Unmarshal(b, &ev); err != nil {
-		return fmt.Errorf("events: %w", err)
+// ReadEvents reads events in the channel's form. One that can't be read spoils all.
+func ReadEvents(b []byte) (*Events, error) {
+	var in events
+	if err := jsoniter.Unmarshal(b, &in); err != nil {
+		return nil, fmt.Errorf("events: %w", err)
 	}
-	for _, cmd := range ev.Cmds {
-		if cmd.Cursor > 0 && cmd.Cursor <= c.cursor || cmd.Nodes == nil {
-			continue // known already, or of a kind that is not for us
+	out := &Events{cursor: in.Cursor}
+	for _, cmd := range in.Cmds {
+		if cmd.Nodes == nil {
+			continue // of a kind that is not for us
 		}
-		var ms []core.Member
+		l := core.List{Source: "channel", Full: cmd.Nodes.Complete}
 		for _, n := range cmd.Nodes.Members {
 			st, ok := phases[n.Phase]
 			if !ok || n.ID == "" {
-				return fmt.Errorf("events: switch %q in phase %q", n.ID, n.Phase)
+				return nil, fmt.Errorf("events: switch %q in phase %q", n.ID, n.Phase)
 			}
 			m := core.Member{ID: n.ID, Addr: n.Addr, Number: n.Cell, State: st}
 			if n.UpSince > 0 {
 				m.Started = time.UnixMicro(int64(n.UpSince * 1000))
 			}
-			ms = append(ms, m)
+			l.Members = append(l.Members, m)
 		}
-		c.Log.Info("list of switches", "event", cmd.Cursor, "complete", cmd.Nodes.Complete, "switches", len(ms))
-		c.List(core.List{Source: "channel", Full: cmd.Nodes.Complete, Members: ms})
-		c.cursor = max(c.cursor, cmd.Cursor)
+		out.lists = append(out.lists, numbered{cmd.Cursor, l})
 	}
-	c.cursor = max(c.cursor, ev.Cursor)
-	return nil
+	return out, nil
+}
+
+// Take takes in the events that are new, in their order.
+func (c *Channel) Take(ev *Events) {
+	for _, e := range ev.lists {
+		if e.cursor > 0 && e.cursor <= c.cursor {
+			continue
+		}
+		c.Log.Info("list of switches", "event", e.cursor, "complete", e.list.Full, "switches", len(e.list.Members))
+		c.List(e.list)
+		c.cursor = max(c.cursor, e.cursor)
+	}
+	c.cursor = max(c.cursor, ev.cursor)
+}
+
+// Move makes the channel go on at another address, where the numbers continue;
+// known are the events that came with it. The poll that runs is ended: the old
+// address tells nothing more, and would only end it later.
+func (c *Channel) Move(addr string, known *Events) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if addr != c.Addr {
+		c.Log.Info("command channel moved", "addr", addr)
+	}
+	c.Addr, c.moved = addr, known
+	c.stop()
+}
+
+// next takes in what Move brought and returns where and how long to ask.
+func (c *Channel) next(ctx context.Context) (string, context.Context, context.CancelFunc) {
+	c.mu.Lock()
+	addr, known := c.Addr, c.moved
+	c.moved = nil
+	ctx, c.stop = context.WithTimeout(ctx, pollTimeout)
+	stop := c.stop
+	c.mu.Unlock()
+	if known != nil {
+		c.Take(known)
+	}
+	return addr, ctx, stop
+}
+
+// hasMoved says whether Move was called since the poll began.
+func (c *Channel) hasMoved() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.moved != nil
 }
 
 // Follow asks for new events until the context ends.
@@ -102,6 +170,10 @@
 		if ctx.Err() != nil {
 			break
 		}
+		if c.hasMoved() {
+			gap = channelFirst
+			continue
+		}
 		c.Log.Warn("command channel", "error", err)
 		again := time.NewTimer(gap)
 		select {
@@ -115,10 +187,10 @@
 }
 
 func (c *Channel) poll(ctx context.Context, client *http.Client) error {
-	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
+	addr, ctx, cancel := c.next(ctx)
 	defer cancel()
 	q := url.Values{"resume": {strconv.FormatInt(c.cursor, 10)}, "block": {strconv.FormatInt(pollBlock.Milliseconds(), 10)}}
-	u := url.URL{Scheme: "http", Host: c.Addr, Path: "/cmd/next", RawQuery: q.Encode()}
+	u := url.URL{Scheme: "http", Host: addr, Path: "/cmd/next", RawQuery: q.Encode()}
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, u.String(), nil)
 	if err != nil {
 		return err
@@ -137,5 +209,10 @@
 	case len(b) > maxEventsLen:
 		return errors.New("a reply that is too long")
 	}
-	return c.Take(b)
+	ev, err := ReadEvents(b)
+	if err != nil {
+		return err
+	}
+	c.Take(ev)
+	return nil
 }
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -66,8 +66,12 @@
 	log      *slog.Logger
 	phase    atomic.Int32
 
+	// Reread reads the platform's configuration anew for Reload; nil: it stays.
+	Reread func() (*config.Platform, error)
+
 	core    *core.Core
 	front   *platform.Front
+	channel *platform.Channel
 	api     *callapi.Front
 	tenants *tenant.Registry
 	reload  sync.Mutex
@@ -97,7 +101,7 @@
 }
 
 // Run serves until the context ends, then finishes what was taken. Each value
-// on hup reloads the inventory. It calls ready, if given, once it serves.
+// on hup reloads the configuration and the inventory. It calls ready, if given, once it serves.
 func (p *Proxy) Run(ctx context.Context, hup <-chan struct{}, ready func()) error {
 	p.enter(Starting)
 	defer p.enter(Stopped)
@@ -119,7 +123,7 @@
 		select {
 		case <-hup:
 			if err := p.Reload(); err != nil {
-				p.log.Error("inventory not reloaded", "error", err)
+				p.log.Error("configuration not reloaded", "error", err)
 			}
 		case <-ctx.Done():
 			break serving
@@ -175,10 +179,12 @@
 	}
 	if pf := p.platform; pf != nil {
 		p.front.Calls = p.core
-		channel := &platform.Channel{Addr: pf.Channel, List: p.core.List, Log: p.log}
-		if err := channel.Take(pf.Known); err != nil {
+		known, err := platform.ReadEvents(pf.Known)
+		if err != nil {
 			return stop, fmt.Errorf("key known: %w", err)
 		}
+		p.channel = platform.NewChannel(pf.Channel, p.core.List, p.log)
+		p.channel.Take(known)
 		ln, err := platform.Listen(life, pf.Listen)
 		if err != nil {
 			return stop, fmt.Errorf("key listen: %w", err)
@@ -187,7 +193,7 @@
 		// The listener first: Front.Close waits for what ends with Serve. The other
 		// order hung every exit.
 		closers = append(closers, func() { ln.Close() }, p.front.Close)
-		g.Go(func() error { return channel.Follow(life) })
+		g.Go(func() error { return p.channel.Follow(life) })
 		g.Go(func() error { return p.front.Serve(ln) })
 	}
 
@@ -198,7 +204,7 @@
 		for name, i := range set.Classes {
 			p.api.Classes[name] = callapi.Class{Place: i, Width: set.Brain.Classes[i].Width}
 		}
-		if err := p.Reload(); err != nil {
+		if err := p.loadInventory(); err != nil {
 			return stop, err
 		}
 		mux := http.NewServeMux()
@@ -211,7 +217,7 @@
 		closers = append(closers, p.api.Close, shut)
 		if sv.AdminListen != "" {
 			a := &admin.Server{TokenHash: sv.AdminTokenHash, Tenants: p.tenants, Switches: p.core.Members,
-				Status: p.status, Reload: p.Reload, Disconnect: p.api.Disconnect, Log: p.log}
+				Status: p.status, Reload: p.reloadInventory, Disconnect: p.api.Disconnect, Log: p.log}
 			addr, shut, err := p.listenHTTP(life, g, "admin.listen", sv.AdminListen, adminConns, a.Handler())
 			if err != nil {
 				return stop, err
@@ -271,11 +277,47 @@
 	return ln.Addr(), func() { srv.Close() }, nil
 }
 
-// Reload reads the inventory and the certificate anew: all of it counts, or with
-// an error nothing.
+// Reload reads the platform's configuration, the inventory and the certificate
+// anew: all of it counts, or with an error nothing.
 func (p *Proxy) Reload() error {
 	p.reload.Lock()
 	defer p.reload.Unlock()
+	var pf *config.Platform
+	var known *platform.Events
+	var err error
+	if p.channel != nil && p.Reread != nil {
+		if pf, err = p.Reread(); err != nil {
+			return err
+		}
+		if known, err = platform.ReadEvents(pf.Known); err != nil {
+			return fmt.Errorf("key known: %w", err)
+		}
+	}
+	if p.service != nil {
+		if err := p.loadInventory(); err != nil {
+			return err
+		}
+	}
+	if pf != nil {
+		p.channel.Move(pf.Channel, known)
+		p.log.Info("configuration reloaded", "channel", pf.Channel)
+		if key := p.platform.Fixed(pf); key != "" {
+			p.log.Warn("a changed key counts from the next start on", "key", key)
+		}
+	}
+	return nil
+}
+
+// reloadInventory does so for the inventory and the certificate alone.
+func (p *Proxy) reloadInventory() error {
+	p.reload.Lock()
+	defer p.reload.Unlock()
+	return p.loadInventory()
+}
+
+// loadInventory takes in the inventory and the certificate, or with an error
+// neither.
+func (p *Proxy) loadInventory() error {
 	inv, err := inventory.Load(p.service.Inventory)
 	if err != nil {
 		return err
--- a/internal/proxy/script_test.go
+++ b/internal/proxy/script_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"encoding/hex"
 	"fmt"
@@ -38,6 +39,7 @@
 //	NAME close  ends a connection                     NAME refuse a switch stops listening too
 //	NAME eof    the proxy has closed it               list JSON   an event of the command channel
 //	sync DEST   waits until the proxy knows of it     term        SIGTERM
+//	hup         SIGHUP, with the channel elsewhere    hup bad     ... and a key that is wrong
 //
 // Bytes are hexadecimal digits and "texts"; * stands for the length and value
 // of one parameter, {NAME} for a value remembered by its first use. Connections
@@ -48,6 +50,10 @@
 	term     context.CancelFunc
 	done     chan error
 	events   chan string
+	cursor   int
+	config   func() []byte // the configuration, with a new channel
+	file     []byte        // ... as SIGHUP finds it
+	hup      chan struct{}
 	callers  map[string]net.Conn
 	switches map[string]*standIn
 	clients  map[string]*websocket.Conn
@@ -112,7 +118,7 @@
 
 // startWith starts it with changes to the service's configuration.
 func startWith(t *testing.T, text, settings string, change func(*config.Service)) *script {
-	s := &script{t: t, events: make(chan string, 16), callers: map[string]net.Conn{}, switches: map[string]*standIn{},
+	s := &script{t: t, callers: map[string]net.Conn{}, switches: map[string]*standIn{},
 		clients: map[string]*websocket.Conn{}, vars: map[string]string{}}
 	var members, hosts []string
 	for n := 1; n <= 3; n++ {
@@ -131,21 +137,14 @@
 		s.switches[name] = in
 		members = append(members, s.member(name, n, "up"))
 	}
-	cursor, cmds := 1, make(chan string, 1)
-	channel := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		select {
-		case ev := <-s.events:
-			cursor++
-			fmt.Fprintf(w, `{"cursor":%d,"cmds":[{"cursor":%d,"nodes":%s}]}`, cursor, cursor, ev)
-		case <-r.Context().Done():
-		case <-cmds:
-		}
-	}))
-	t.Cleanup(channel.Close)
-	t.Cleanup(func() { close(cmds) })
-	pf, err := config.Parse(fmt.Appendf(nil, `{"name":"n0","listen":"127.0.0.1:0","seed":"1","channel":%q,"limits":{"sockets":1024},
+	s.cursor = 1
+	s.config = func() []byte {
+		return fmt.Appendf(nil, `{"name":"n0","listen":"127.0.0.1:0","seed":"1","channel":%q,"limits":{"sockets":1024},
 		"known":{"cursor":1,"cmds":[{"cursor":1,"nodes":{"complete":true,"members":[%s]}}]},"settings":%s}`,
-		channel.Listener.Addr(), strings.Join(members, ","), settings))
+			s.newChannel(), strings.Join(members, ","), settings)
+	}
+	s.file = s.config()
+	pf, err := config.Parse(s.file)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -163,15 +162,36 @@
 	return s
 }
 
+// newChannel opens a command channel and returns its address; list lines are
+// told there from then on. Its numbers go on where the last one's ended.
+func (s *script) newChannel() net.Addr {
+	events, quit := make(chan string, 16), make(chan struct{})
+	s.events = events
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		select {
+		case ev := <-events:
+			s.cursor++
+			fmt.Fprintf(w, `{"cursor":%d,"cmds":[{"cursor":%d,"nodes":%s}]}`, s.cursor, s.cursor, ev)
+		case <-r.Context().Done():
+		case <-quit:
+		}
+	}))
+	s.t.Cleanup(srv.Close)
+	s.t.Cleanup(func() { close(quit) })
+	return srv.Listener.Addr()
+}
+
 func (s *script) run(pf *config.Platform, sv *config.Service) {
 	var err error
 	if s.p, err = New(pf, sv, slog.New(slog.DiscardHandler)); err != nil {
 		s.t.Fatal(err)
 	}
+	s.hup = make(chan struct{})
+	s.p.Reread = func() (*config.Platform, error) { return config.Parse(s.file) }
 	ctx, term := context.WithCancel(context.Background())
 	s.term, s.done = term, make(chan error, 1)
 	ready := make(chan struct{})
-	go func() { s.done <- s.p.Run(ctx, nil, func() { close(ready) }) }()
+	go func() { s.done <- s.p.Run(ctx, s.hup, func() { close(ready) }) }()
 	select {
 	case <-ready:
 	case err := <-s.done:
@@ -339,6 +359,13 @@
 		s.sync(ctx, rest)
 	case name == "term":
 		s.term()
+	case name == "hup":
+		told := s.events
+		s.file = s.config()
+		if rest == "bad" {
+			s.file, s.events = bytes.Replace(s.file, []byte(`"seed":"1"`), []byte(`"seed":"green"`), 1), told
+		}
+		s.hup <- struct{}{}
 	case rest == "close":
 		s.close(who, json)
 	case rest == "refuse":
