End a switch's connection on a spoilt answer; drop copies and unknown answers

Checked with a trace of every message on both sides: the call stood through a connection to a switch on which a message of type 123 had come. trunk took it as free of meaning (internal/platform/link.go, Read: no case, no error). Ruled out: the callers' side (no release was ever read for those calls) and resets.

Also at fault: trunk.take released the call on a second copy of its answer, which cuts a call that stands, and on an answer under an unknown id; a message that stops short held up all behind it for 10 s; what was open on a broken connection was never released at its switch, where it may stand.

Now: what no switch sends, an answer without a description, or a message not whole within 0.5 s ends the connection; its open set-ups are settled and released first on the next one, before any set-up. Copies and unknown answers are dropped. The same holds for switches on WebSocket.

--- a/internal/callapi/front.go
+++ b/internal/callapi/front.go
@@ -102,6 +102,7 @@
 	pingEvery    = 15 * time.Second
 	pingWait     = 5 * time.Second
 	closeWait    = 2 * time.Second
+	messageRest  = 2 * time.Second // a message of a client ends within this once it has begun
 	maxKeptBytes = 32 << 20
 	keptShare    = 4  // one tenant holds at most this part of what is kept
 	maxBad       = 20 // unreadable messages on one socket before it is closed
@@ -210,7 +211,7 @@
 func (s *socket) read(ctx context.Context) error {
 	bad := 0
 	for {
-		m, err := read(ctx, s.conn)
+		m, err := read(ctx, s.conn, messageRest)
 		at := time.Now()
 		var why errBad
 		switch {
--- a/internal/callapi/front_test.go
+++ b/internal/callapi/front_test.go
@@ -85,7 +85,7 @@
 	}()
 	got := map[string]int{}
 	for range 2 * calls {
-		m, err := read(t.Context(), c)
+		m, err := read(t.Context(), c, time.Minute)
 		if err != nil {
 			t.Fatalf("after %v: %v", got, err)
 		}
@@ -95,7 +95,7 @@
 	if diff := cmp.Diff(want, got); diff != "" {
 		t.Errorf("read before the end (-want +got):\n%s", diff)
 	}
-	if _, err := read(t.Context(), c); websocket.CloseStatus(err) != websocket.StatusGoingAway {
+	if _, err := read(t.Context(), c, time.Minute); websocket.CloseStatus(err) != websocket.StatusGoingAway {
 		t.Errorf("ended with %v, want a close that says 'going away'", err)
 	}
 	<-closed
@@ -123,7 +123,7 @@
 		ask(t, c, n)
 	}
 	for n := range 8 {
-		m, err := read(t.Context(), c)
+		m, err := read(t.Context(), c, time.Minute)
 		if err != nil || m.Type != typeRefused || m.Reason != reasonBusy || m.RetryAfterMs <= 0 {
 			t.Fatalf("refusal %d: %+v, %v", n, m, err)
 		}
@@ -177,12 +177,12 @@
 	f.share("acme").used = usage{1, maxKeptBytes / keptShare}
 	f.mu.Unlock()
 	for range 6 { // three answers and three releases
-		if _, err := read(t.Context(), c); err != nil {
+		if _, err := read(t.Context(), c, time.Minute); err != nil {
 			t.Fatal(err)
 		}
 	}
 	ask(t, c, 10)
-	if m, err := read(t.Context(), c); err != nil || m.Reason != reasonBusy {
+	if m, err := read(t.Context(), c, time.Minute); err != nil || m.Reason != reasonBusy {
 		t.Errorf("past the share: %+v, %v", m, err)
 	}
 }
@@ -194,7 +194,7 @@
 	if err := c.Write(t.Context(), websocket.MessageText, []byte(`{"type":"release","call":"a"}`)); err != nil {
 		t.Fatal(err)
 	}
-	if m, err := read(t.Context(), c); err != nil || m.Code != codeUnknown {
+	if m, err := read(t.Context(), c, time.Minute); err != nil || m.Code != codeUnknown {
 		t.Fatalf("%+v, %v", m, err)
 	}
 	c.CloseNow()
--- a/internal/callapi/link.go
+++ b/internal/callapi/link.go
@@ -52,9 +52,10 @@
 }
 
 // Read reads the next message. One that can't be read ends the connection:
-// what it spoke of is not known, and a reset is.
+// what it spoke of is not known, and a reset is. So does one that no switch
+// sends, which may be a spoilt answer.
 func (s *switchConn) Read() (trunk.Event, error) {
-	m, err := read(s.ctx, s.conn)
+	m, err := read(s.ctx, s.conn, trunk.MessageRest)
 	if err != nil {
 		var closed websocket.CloseError
 		if errors.As(err, &closed) {
@@ -99,7 +100,7 @@
 	case typeError:
 		ev.Note = fmt.Errorf("the switch says: %s %.200s", m.Code, m.Detail)
 	default:
-		ev.Note = fmt.Errorf("type %.32q is not known", m.Type)
+		return ev, errBad{fmt.Sprintf("type: %q is no message of a switch", clip(m.Type))}
 	}
 	return ev, nil
 }
--- a/internal/callapi/message.go
+++ b/internal/callapi/message.go
@@ -8,6 +8,7 @@
 	"encoding/base64"
 	"errors"
 	"fmt"
+	"io"
 	"time"
 	"unicode/utf8"
 
@@ -123,9 +124,17 @@
 
 func (e errBad) Error() string { return e.why }
 
-// read reads one message.
-func read(ctx context.Context, c *websocket.Conn) (m message, err error) {
-	kind, b, err := c.Read(ctx)
+// read reads one message, which ends within a time once it has begun.
+func read(ctx context.Context, c *websocket.Conn, rest time.Duration) (m message, err error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	kind, r, err := c.Reader(ctx)
+	if err != nil {
+		return m, err
+	}
+	late := time.AfterFunc(rest, cancel)
+	defer late.Stop()
+	b, err := io.ReadAll(r)
 	if err != nil {
 		return m, err
 	}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -428,17 +428,35 @@
 	}
 }
 
-// Answered tells that a switch answered. It is false if no set-up of the call
-// is out there: a late answer, which the link must release.
-func (c *Core) Answered(host string, id uint64, description []byte) bool {
+// Verdict is what became of a switch's answer.
+type Verdict int
+
+// The verdicts. A switch may say more than belongs to it: only a Late answer
+// is of something that stands there and that nobody wants.
+const (
+	Taken   Verdict = iota
+	Copy            // the call stands through that switch already: to be dropped
+	Late            // the set-up was given up: what it set up is to be released
+	Unknown         // no call of that id was here: to be dropped
+)
+
+// Answered tells that a switch answered.
+func (c *Core) Answered(host string, id uint64, description []byte) Verdict {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	k := c.calls[id]
-	if k == nil || k.out != host || k.answered {
-		return false
+	_, over := c.ended[id]
+	switch {
+	case k == nil && !over:
+		return Unknown
+	case k == nil || k.out != host:
+		return Late
+	case k.answered:
+		return Copy
 	}
 	k.answered = true
-	return k.push(reply{answer: true, description: description})
+	k.push(reply{answer: true, description: description})
+	return Taken
 }
 
 // Ended tells that a set-up or a standing call has ended at a switch.
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -163,7 +163,7 @@
 	list(c, false, Member{ID: "a", Addr: "x", Number: 1}, Member{ID: "b", Addr: "y", Number: 2})
 	offer(t, c, f, 1, 1)
 	f.want(t, f.sent, "a set-up")
-	if c.Answered("b", 1, nil) || !c.Answered("a", 1, nil) || c.Answered("a", 1, nil) {
+	if c.Answered("b", 1, nil) != Late || c.Answered("a", 1, nil) != Taken || c.Answered("a", 1, nil) != Copy || c.Answered("a", 9, nil) != Unknown {
 		t.Error("an answer counts once, and only from where the set-up is")
 	}
 	f.want(t, f.told, "answer ")
--- a/internal/platform/front.go
+++ b/internal/platform/front.go
@@ -56,7 +56,7 @@
 
 // NewFront makes a front. Its Calls may be set later, but before Serve.
 func NewFront(classes map[string]int, maxConns int, log *slog.Logger) *Front {
-	return &Front{Classes: classes, MaxConns: maxConns, Log: log, idle: callerIdle, rest: messageRest, conns: map[*conn]bool{},
+	return &Front{Classes: classes, MaxConns: maxConns, Log: log, idle: callerIdle, rest: 2 * time.Second, conns: map[*conn]bool{},
 		orphans: make(chan orphan, maxOrphans), arrived: make(chan struct{}, 1)}
 }
 
--- a/internal/platform/link.go
+++ b/internal/platform/link.go
@@ -16,10 +16,7 @@
 	"violetspan.example/violetspan/internal/trunk"
 )
 
-const (
-	readBuffer  = 4 << 10
-	messageRest = 10 * time.Second // a message that has begun ends within this
-)
+const readBuffer = 1 << 10 // longer messages are read past it
 
 // begun waits for the first byte of a message; without a limit if until is zero.
 // Here and in finish a deadline that can't be set is no error: the connection
@@ -55,12 +52,14 @@
 	return &switchConn{c, bufio.NewReaderSize(c, readBuffer)}, nil
 }
 
-// Read reads the next message. What is malformed ends the connection.
+// Read reads the next message. What is malformed ends the connection, as does a
+// message that no switch sends: a spoilt answer may look like one, and nothing
+// comes on its connection any more though it stays open.
 func (c *switchConn) Read() (trunk.Event, error) {
 	if err := begun(c.Conn, c.in, time.Time{}); err != nil {
 		return trunk.Event{}, err
 	}
-	m, err := finish(c.Conn, c.in, messageRest)
+	m, err := finish(c.Conn, c.in, trunk.MessageRest)
 	if err != nil {
 		return trunk.Event{}, err
 	}
@@ -68,6 +67,9 @@
 	switch m.Type {
 	case sig.Answer:
 		ev.Kind, ev.Description = trunk.Answer, m.Get(sig.ParamDescription)
+		if ev.Description == nil {
+			return ev, fmt.Errorf("%w: an answer without a description", sig.ErrMalformed)
+		}
 	case sig.Release:
 		ev.Kind = trunk.End
 		ev.End, ev.Note = end(&m)
@@ -77,6 +79,9 @@
 		}
 	case sig.Test:
 		ev.Kind = trunk.Test
+	case sig.Progress, sig.Heard, sig.Tested:
+	default:
+		return ev, fmt.Errorf("%w: type %d of a switch", sig.ErrMalformed, m.Type)
 	}
 	return ev, nil
 }
--- a/internal/trunk/trunk.go
+++ b/internal/trunk/trunk.go
@@ -19,7 +19,9 @@
 )
 
 // Conn is one connection to a switch. Read is called by one goroutine; the
-// other methods one at a time, and each gives up after WriteTimeout.
+// other methods one at a time, and each gives up after WriteTimeout. Read fails
+// on anything that can't be a switch's message: after that the connection is of
+// no use, whether it stays open or not.
 type Conn interface {
 	Read() (Event, error)
 	SetUp(s *core.SetUp, until time.Time) error
@@ -29,6 +31,10 @@
 	Close() error
 }
 
+// MessageRest bounds how long a message of a switch may take once it has begun:
+// one that stops short holds up all that is behind it.
+const MessageRest = 500 * time.Millisecond
+
 // WriteTimeout bounds every write. It is below the drain grace, so that no byte
 // of a set-up leaves later than its check allows.
 const WriteTimeout = 400 * time.Millisecond
@@ -57,7 +63,7 @@
 
 // Up is what a link tells of its switch.
 type Up interface {
-	Answered(host string, id uint64, description []byte) bool
+	Answered(host string, id uint64, description []byte) core.Verdict
 	Ended(host string, id uint64, e core.End)
 	Group(host string, r brain.Report)
 	Dead(host string)
@@ -168,22 +174,33 @@
 		l.log.Debug("no connection to a switch", "error", err)
 		return nil, err
 	}
-	l.conn = conn
 	owed := l.owed
 	l.owed = nil
+	l.mu.Unlock()
+	// Before any set-up goes out: it may be of the same call.
+	for len(owed) > 0 && l.write(conn, nil, func() error { return conn.Release(owed[0]) }) == nil {
+		owed = owed[1:]
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, id := range owed {
+		l.owe(id) // this connection broke at once: its reader finds that out
+	}
+	if l.done {
+		conn.Close()
+		return nil, context.Canceled
+	}
+	l.conn = conn
 	l.group.Go(func() error {
 		l.read(conn)
 		return nil
 	})
-	l.mu.Unlock()
-	for _, id := range owed {
-		l.Release(id)
-	}
 	return conn, nil
 }
 
 // read takes in what the switch says until the connection ends. Then the
-// set-ups that were open on it are over.
+// set-ups that were open on it are over. Any of them may have run, and its answer
+// may be what was lost: the switch is told of their end on the next connection.
 func (l *Link) read(conn Conn) {
 	for {
 		ev, err := conn.Read()
@@ -202,6 +219,9 @@
 	l.mu.Lock()
 	open := l.open
 	l.conn, l.open = nil, map[uint64]bool{}
+	for id := range open {
+		l.owe(id)
+	}
 	l.mu.Unlock()
 	for id := range open {
 		l.up.Ended(l.member.ID, id, core.End{Result: brain.Reset})
@@ -217,10 +237,14 @@
 	switch ev.Kind {
 	case Answer:
 		l.forget(ev.Call)
-		if !l.up.Answered(l.member.ID, ev.Call, ev.Description) {
+		switch l.up.Answered(l.member.ID, ev.Call, ev.Description) {
+		case core.Late:
 			// The attempt was given up: what it set up is released, not passed on.
 			l.log.Debug("late answer released", "call", name(ev.Call))
 			l.Release(ev.Call)
+		case core.Copy, core.Unknown:
+			// A release would end a call that stands, or one of somebody else.
+			l.log.Debug("answer dropped: a copy, or of an unknown call", "call", name(ev.Call))
 		}
 	case End:
 		l.forget(ev.Call)
@@ -297,8 +321,8 @@
 func (l *Link) Release(id uint64) {
 	l.mu.Lock()
 	conn := l.conn
-	if conn == nil && len(l.owed) < maxOwed {
-		l.owed = append(l.owed, id)
+	if conn == nil {
+		l.owe(id)
 	}
 	l.mu.Unlock()
 	if conn == nil {
@@ -309,6 +333,13 @@
 	}
 }
 
+// owe keeps a release for the next connection. The lock is held.
+func (l *Link) owe(id uint64) {
+	if len(l.owed) < maxOwed {
+		l.owed = append(l.owed, id)
+	}
+}
+
 // Close ends the link and waits for its goroutines.
 func (l *Link) Close() {
 	l.stop()
--- a/internal/trunk/trunk_test.go
+++ b/internal/trunk/trunk_test.go
@@ -43,10 +43,10 @@
 // deaf hears nothing of what a switch says.
 type deaf struct{}
 
-func (deaf) Answered(string, uint64, []byte) bool { return false }
-func (deaf) Ended(string, uint64, core.End)       {}
-func (deaf) Group(string, brain.Report)           {}
-func (deaf) Dead(string)                          {}
+func (deaf) Answered(string, uint64, []byte) core.Verdict { return core.Unknown }
+func (deaf) Ended(string, uint64, core.End)               {}
+func (deaf) Group(string, brain.Report)                   {}
+func (deaf) Dead(string)                                  {}
 
 // Guards against a release that is lost because the switch has no connection
 // at that moment, as in the first instant after a start: the switch would hold
