Answer bad callers at the front, make room by need, and settle every ordered send

Checked with a trace of all messages: - Every such close followed a set-up with id 0, sent on by platform.setUp, which checked class, wait and figures' form only; each was tried five times, with all calls on that connection reset. Unknown tenants, widths of 400, destinations of 99 also went on. Ruled out: descriptions and numbers, which were sound. - Without a word: silent connections (60 s allowed), the id of an open request elsewhere (ErrKnown: no reply), messages of type 123 (ignored). - The refusals were the module's, with no attempt out on the sockets: core.serve chose at random between a send that was ordered and a caller who had left; the send was then never settled, and the module's window for that switch filled up for good. Hundreds of requests taken back at once did it within seconds.

Now: platform.Form checks all of a set-up; what is unusable is answered at the front; trust by calls set up; the least missed connection makes room; releases are repeated elsewhere until acknowledged (callers do acknowledge: 1,437 in the trace); a release from another connection does not give up an open set-up; core.next and core.withdraw settle every ordered send. Bounds of connections, open set-ups and calls come from the configuration's memory and descriptors (config.Bounds).

--- a/cmd/violetspan/main.go
+++ b/cmd/violetspan/main.go
@@ -65,7 +65,7 @@
 		}
 		log = log.With("proxy", pf.Name)
 		// Collect garbage harder well before the platform would kill for memory.
-		debug.SetMemoryLimit(int64(pf.MemoryMB) << 20 * 3 / 4)
+		debug.SetMemoryLimit(pf.Bounds().Soft)
 	}
 	if service != "" {
 		if sv, err = config.LoadService(service, os.Getenv); err != nil {
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -38,7 +38,9 @@
 // Settings are the module's settings and what the fronts need of them.
 type Settings struct {
 	Brain       brain.Settings
-	Classes     map[string]int // places in Brain.Classes
+	Classes     map[string]int  // places in Brain.Classes
+	Widths      bool            // each class says how many circuits its calls take
+	Tenants     map[string]bool // nil: none are listed
 	DialTimeout time.Duration
 	OpenCap     int
 }
@@ -109,6 +111,34 @@
 	return p, r.err
 }
 
+// Bounds are the parts of a platform's limits that its front and core may use.
+type Bounds struct {
+	Conns int   // connections from callers
+	Open  int   // set-ups open at once
+	Calls int   // calls at once, those that stand included
+	Soft  int64 // bytes of memory from which on garbage is collected at once
+}
+
+// Shares of the limits, and what one thing of a kind takes of the memory at most:
+// a connection its buffer, goroutine and what the kernel counts; an open set-up a
+// message of the longest kind, its call and its goroutine; a standing call the
+// latter two alone.
+const (
+	connBytes = 16 << 10
+	openBytes = 24 << 10
+	callBytes = 6 << 10
+	mostCalls = 8192
+)
+
+// Bounds works the bounds out. A quarter of the memory is for each of the three
+// kinds, at most; the rest is for all else.
+func (p *Platform) Bounds() Bounds {
+	quarter := p.MemoryMB << 20 / 4
+	calls := min(p.Settings.OpenCap, mostCalls, quarter/callBytes)
+	return Bounds{Conns: min(p.Sockets/2, quarter/connBytes), Calls: calls, Open: min(calls, quarter/openBytes),
+		Soft: int64(p.MemoryMB) << 20 / 4 * 3}
+}
+
 // Fixed names the first key in which a configuration read later differs and
 // which a running proxy can't take over, or is empty.
 func (p *Platform) Fixed(later *Platform) string {
@@ -358,6 +388,13 @@
 		DialTimeout: r.ms(at+"limits.dialTimeoutMs", 500),
 		OpenCap:     r.whole(at+"limits.openCap", 8192, 1, most),
 	}
+	s.Widths = !missing(r.at(at + "extra.widths"))
+	for i := range r.at(at + "realms").Size() {
+		if s.Tenants == nil {
+			s.Tenants = map[string]bool{}
+		}
+		s.Tenants[r.wanted(at+"realms."+strconv.Itoa(i)+".name")] = true
+	}
 	n := r.at(at + "classes").Size()
 	if n < 1 || n > maxClasses {
 		r.fail(at+"classes", "a list of one class or more is wanted")
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -15,7 +15,7 @@
 
 const good = `{"name":"n3","listen":"127.0.0.1:5070","seed":"8c1f30d27a5be964","limits":{"sockets":4096,"memory_mb":192},
 "channel":"127.0.0.1:2379","known":{"cursor":3,"cmds":[]},"peers":["127.0.0.1:1"],
-"settings":{"fleetSize":4,"classes":[{"name":"space-check","goalTimeMs":2000.0,"deadlineMs":9000,"worth":1}],
+"settings":{"fleetSize":4,"realms":[{"name":"main-lot","share":0.51}],"classes":[{"name":"space-check","goalTimeMs":2000.0,"deadlineMs":9000,"worth":1}],
 "extra":{"here":2,"releaseMs":500,"resendMs":800,"widths":[4],"classHoldMs":[11400.5],"topology":"meshed"},
 "limits":{"mostTries":5,"cancel":true,"dialTimeoutMs":450,"openCap":20000},
 "rules":{"coldShare":0.29,"rampTimeMs":15000,"fallMultiple":4,"overloadForMs":2000,"answerSlackMs":20}}}`
@@ -27,7 +27,7 @@
 	}
 	want := &Platform{Name: "n3", Listen: "127.0.0.1:5070", Seed: 0x8c1f30d27a5be964, Sockets: 4096, MemoryMB: 192,
 		Channel: "127.0.0.1:2379", Known: []byte(`{"cursor":3,"cmds":[]}`),
-		Settings: Settings{Classes: map[string]int{"space-check": 0}, DialTimeout: 450 * time.Millisecond, OpenCap: 20000,
+		Settings: Settings{Classes: map[string]int{"space-check": 0}, Widths: true, Tenants: map[string]bool{"main-lot": true}, DialTimeout: 450 * time.Millisecond, OpenCap: 20000,
 			Brain: brain.Settings{Here: 2, Fleet: 4, MaxAttempts: 5, Release: 500 * time.Millisecond,
 				Resend: 800 * time.Millisecond, ColdRamp: 15 * time.Second, ColdShare: 0.29, FallMultiple: 4,
 				FallWindow: 2 * time.Second, AnswerSlack: 20 * time.Millisecond, CancelAllowed: true,
@@ -76,6 +76,7 @@
 		{`"widths":[4]`, `"widths":["x"]`, "key settings.extra.widths.0:"},
 		{`"cancel":true`, `"cancel":"yes"`, "key settings.limits.cancel:"},
 		{`"coldShare":0.29`, `"coldShare":29`, "key settings.rules.coldShare:"},
+		{`"name":"main-lot"`, `"name":""`, "key settings.realms.0.name: missing"},
 		{`"classes":[`, `"clashes":[`, "key settings.classes:"},
 		{`{"name":"n3"`, `{"name":"n3`, "not valid JSON"},
 	} {
--- a/internal/core/call.go
+++ b/internal/core/call.go
@@ -72,29 +72,22 @@
 		// What the module wants next: a send now, or after a hold or a rest; or
 		// the final answer.
 		var send brain.Send
-		select {
-		case a := <-k.todo:
-			switch a := a.(type) {
-			case brain.Refuse:
-				k.caller.Refuse(k.ID, a.After)
-				return
-			case brain.Fail:
-				k.caller.Fail(k.ID)
-				return
-			case brain.Send:
-				send = a
-			default:
-				continue // a cancel that crossed its attempt's end
-			}
-		case <-k.ctx.Done():
-			c.tell(brain.Withdrawn{Call: k.name})
+		switch a := c.next(k, owed.C).(type) {
+		case brain.Send:
+			send = a
+		case brain.Refuse:
+			k.caller.Refuse(k.ID, a.After)
 			return
-		case <-owed.C:
-			// Guards against a call that the module forgot: its caller gets an answer.
-			c.log.Error("no decision before the caller gives up", "call", k.name)
-			c.tell(brain.Withdrawn{Call: k.name})
+		case brain.Fail:
+			k.caller.Fail(k.ID)
+			return
+		case left:
+			return
+		case overdue:
 			k.caller.Fail(k.ID)
 			return
+		default:
+			continue // a cancel that crossed its attempt's end
 		}
 
 		// The attempt, and how it came out.
@@ -156,6 +149,52 @@
 	}
 }
 
+// What next returns beside the module's actions.
+type (
+	left    struct{} // the caller has left
+	overdue struct{} // the module forgot the call, and its caller is about to give up
+)
+
+// next waits for what the module wants of a call that has no attempt out. What
+// was decided already counts before the clock, but not for a caller who has left.
+func (c *Core) next(k *call, owed <-chan time.Time) any {
+	select {
+	case <-k.ctx.Done():
+		c.withdraw(k)
+		return left{}
+	default:
+	}
+	select {
+	case a := <-k.todo:
+		return a
+	default:
+	}
+	select {
+	case a := <-k.todo:
+		return a
+	case <-k.ctx.Done():
+		c.withdraw(k)
+		return left{}
+	case <-owed:
+		c.log.Error("no decision before the caller gives up", "call", k.name)
+		c.withdraw(k)
+		return overdue{}
+	}
+}
+
+// withdraw takes a call without an attempt out back from the module. A send that
+// the module had ordered by then is settled as not used: the module would count
+// it as out for good, and after a few such calls send nothing to that switch.
+func (c *Core) withdraw(k *call) {
+	c.tell(brain.Withdrawn{Call: k.name})
+	for len(k.todo) > 0 {
+		if send, ok := (<-k.todo).(brain.Send); ok {
+			k.sends++
+			c.settle(k, send, time.Now(), End{Result: brain.Unused}, true)
+		}
+	}
+}
+
 // Who ended the wait for a switch.
 type ender int
 
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -254,3 +254,29 @@
 		f.want(t, f.sent, "close a")
 	}
 }
+
+// Guards against attempts that stay out for good in the module's view: a caller
+// who has left when the module orders a send. A few of them closed a switch to
+// all calls, as hundreds of set-ups that are taken back at once did.
+func TestCallsTakenBackAtOnceLeaveNothingOut(t *testing.T) {
+	c, f := newCore(t)
+	id := uint64(0)
+	for n, name := range []string{1: "a", "b", "d"} {
+		if n == 0 {
+			continue // the own exchange
+		}
+		list(c, false, Member{ID: name, Addr: "x", Number: n})
+		for range 9 { // one less than the credit at the start
+			id++
+			k := newCall(c, &SetUp{ID: id, Number: "100", Dest: n, Width: 1, Deadline: time.Now().Add(15 * time.Second)}, f)
+			c.mu.Lock()
+			c.calls[id], c.names[k.name] = k, k
+			c.owed++
+			c.mu.Unlock()
+			k.leave()
+			c.serve(k)
+		}
+		offer(t, c, f, 1000+id, n)
+		f.want(t, f.sent, name+" set-up")
+	}
+}
--- /dev/null
+++ b/internal/platform/caller.go
@@ -0,0 +1,283 @@
+package platform
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"sync"
+	"time"
+
+	"violetspan.example/violetspan/internal/core"
+	"violetspan.example/violetspan/internal/sig"
+)
+
+// conn is one connection from callers.
+type conn struct {
+	front *Front
+	net.Conn
+	writing sync.Mutex // one message at a time
+	born    time.Time
+
+	// Under front.mu:
+	open    map[uint64]bool // set-ups taken here and not answered
+	asked   bool            // something usable came
+	trusted bool            // a call was set up for it
+	evicted bool            // closed to make room: a set-up that crosses that comes again
+	hears   bool            // it acknowledged a release
+	bad     int             // messages that asked for nothing usable, since a usable one
+	last    time.Time       // when something usable came, or it began
+}
+
+func newConn(f *Front, nc net.Conn, at time.Time) *conn {
+	return &conn{front: f, Conn: nc, born: at, last: at, open: map[uint64]bool{}}
+}
+
+// read takes in messages until the connection ends. The set-ups still open on it
+// are given up then; a caller that sent what can't be read is told so.
+func (c *conn) read() {
+	f := c.front
+	in := bufio.NewReaderSize(c, readBuffer)
+	var err error
+	for err == nil {
+		var m sig.Message
+		until := time.Now().Add(f.idle)
+		asked := c.hasAsked()
+		if !asked {
+			until = c.born.Add(f.silent)
+		}
+		if err = begun(c.Conn, in, until); errors.Is(err, os.ErrDeadlineExceeded) {
+			if err = nil; c.owes() || asked != c.hasAsked() {
+				continue
+			}
+			err = io.EOF // closed for its silence: no more news than an end
+		}
+		if err == nil {
+			m, err = finish(c.Conn, in, f.rest)
+		}
+		if err == nil {
+			err = c.take(&m, time.Now())
+		}
+	}
+	if !errors.Is(err, io.EOF) && !errors.Is(err, net.ErrClosed) {
+		f.Log.Warn("connection from a caller broke", "addr", c.RemoteAddr(), "error", err)
+	}
+	f.mu.Lock()
+	delete(f.conns, c)
+	open := c.open
+	c.open = map[uint64]bool{}
+	for id := range open {
+		f.disown(c, id)
+	}
+	f.mu.Unlock()
+	for id := range open {
+		f.Calls.Leave(id)
+		if errors.Is(err, sig.ErrMalformed) {
+			failed := sig.WithCause(sig.Release, id, sig.CauseProtocol)
+			_ = c.send(&failed)
+		}
+	}
+	c.Close()
+	f.ended(c)
+}
+
+func (c *conn) hasAsked() bool {
+	c.front.mu.Lock()
+	defer c.front.mu.Unlock()
+	return c.asked
+}
+
+// owes says whether a set-up that came on the connection waits for its answer.
+func (c *conn) owes() bool {
+	c.front.mu.Lock()
+	defer c.front.mu.Unlock()
+	return len(c.open) > 0
+}
+
+// usable notes that something usable came.
+func (c *conn) usable() {
+	c.front.mu.Lock()
+	defer c.front.mu.Unlock()
+	c.asked, c.bad, c.last = true, 0, time.Now()
+}
+
+// unusable notes that nothing usable came; an error ends the connection. One on
+// which calls were set up goes on: it carries those of others too.
+func (c *conn) unusable(why error) error {
+	c.front.mu.Lock()
+	defer c.front.mu.Unlock()
+	c.bad++
+	if c.bad == 1 {
+		c.front.Log.Warn("message of a caller that can't be used", "addr", c.RemoteAddr(), "error", why)
+	}
+	if c.bad >= untrustedBad && !c.trusted {
+		return fmt.Errorf("%w: %d that can't be used, the last: %w", sig.ErrMalformed, c.bad, why)
+	}
+	return nil
+}
+
+// take acts on one message of a caller, read whole at the given time. An error
+// ends the connection.
+func (c *conn) take(m *sig.Message, at time.Time) error {
+	f := c.front
+	switch m.Type {
+	case sig.SetUp:
+		return c.setUp(m, at)
+	case sig.Release:
+		f.mu.Lock()
+		owner := f.owner[m.Call]
+		if owner == c {
+			f.disown(c, m.Call)
+		}
+		f.mu.Unlock()
+		if owner == nil || owner == c {
+			f.Calls.Leave(m.Call) // what stands may be hung up on any connection
+			c.usable()
+		}
+		_ = c.send(&sig.Message{Type: sig.Heard, Call: m.Call})
+		if owner != nil && owner != c {
+			return c.unusable(errors.New("a release of a set-up that is open elsewhere"))
+		}
+	case sig.Heard:
+		if f.heard(c, m.Call) {
+			c.usable()
+		}
+	case sig.Test:
+		passed := sig.WithCause(sig.Tested, m.Call, 1)
+		_ = c.send(&passed)
+		c.usable()
+	case sig.Progress:
+	default:
+		return fmt.Errorf("%w: type %d of a caller", sig.ErrMalformed, m.Type)
+	}
+	return nil
+}
+
+var (
+	errTwice = errors.New("two set-ups under one id")
+	errTaken = errors.New("the id of an open set-up")
+)
+
+// setUp takes a set-up in, or answers it at once.
+func (c *conn) setUp(m *sig.Message, at time.Time) error {
+	f := c.front
+	s, err := f.Form.setUp(m, at)
+	if err == nil {
+		err = f.own(c, s.ID)
+	}
+	if err == nil {
+		c.usable()
+		if err = f.Calls.Offer(s, c); err == nil {
+			return nil
+		}
+		f.mu.Lock()
+		f.disown(c, s.ID)
+		f.mu.Unlock()
+	}
+	switch {
+	case errors.Is(err, net.ErrClosed):
+		return err
+	case errors.Is(err, errTwice):
+		// Which of the two an answer is for can't be told: neither is passed on.
+		return fmt.Errorf("%w: %w", sig.ErrMalformed, err)
+	case errors.Is(err, core.ErrBusy):
+		busy := sig.WithCause(sig.Release, m.Call, sig.CauseCongestion)
+		_ = c.send(&busy)
+		return nil
+	}
+	failed := sig.WithCause(sig.Release, m.Call, sig.CauseContents)
+	_ = c.send(&failed)
+	return c.unusable(err)
+}
+
+// own notes that a set-up is open on a connection, or says why it can't be.
+func (f *Front) own(c *conn, id uint64) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	switch owner := f.owner[id]; {
+	case c.evicted:
+		return net.ErrClosed
+	case owner == c:
+		return errTwice
+	case owner != nil:
+		return errTaken
+	case len(f.owner) >= f.MaxOpen:
+		return core.ErrBusy
+	case !c.trusted && (len(c.open) >= untrustedOpen || f.doubtful >= max(1, f.MaxOpen/untrustedPart)):
+		return core.ErrBusy
+	}
+	f.owner[id], c.open[id] = c, true
+	if !c.trusted {
+		f.doubtful++
+	}
+	return nil
+}
+
+// disown notes that a set-up is not open any more; false if it was not open on
+// that connection. The lock is held.
+func (f *Front) disown(c *conn, id uint64) bool {
+	if f.owner[id] != c {
+		return false
+	}
+	delete(f.owner, id)
+	delete(c.open, id)
+	if !c.trusted {
+		f.doubtful--
+	}
+	return true
+}
+
+// Answer implements core.Caller, as do Refuse, Fail and Release.
+func (c *conn) Answer(id uint64, description []byte) error {
+	err := c.answer(id, sig.Message{Type: sig.Answer, Call: id,
+		Params: []sig.Param{{Code: sig.ParamDescription, Value: description}}})
+	if err == nil {
+		c.trust()
+	}
+	return err
+}
+
+// trust notes that a call was set up for the connection.
+func (c *conn) trust() {
+	c.front.mu.Lock()
+	defer c.front.mu.Unlock()
+	if !c.trusted {
+		c.trusted = true
+		c.front.doubtful -= len(c.open)
+	}
+}
+
+// Refuse turns a call away. The protocol has no word for when to come back.
+func (c *conn) Refuse(id uint64, _ time.Duration) {
+	_ = c.answer(id, sig.WithCause(sig.Release, id, sig.CauseCongestion))
+}
+
+// Fail says that a call failed.
+func (c *conn) Fail(id uint64) { _ = c.answer(id, sig.WithCause(sig.Release, id, sig.CauseTemporary)) }
+
+var errGone = errors.New("the set-up is not open any more")
+
+// answer gives a set-up its final answer, unless it was given up.
+func (c *conn) answer(id uint64, m sig.Message) error {
+	f := c.front
+	f.mu.Lock()
+	open := f.disown(c, id)
+	f.mu.Unlock()
+	if !open {
+		return errGone
+	}
+	return c.send(&m)
+}
+
+// send writes one message whole, or closes the connection.
+func (c *conn) send(m *sig.Message) error {
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	err := write(c.Conn, m, callerWrite)
+	if err != nil {
+		c.Close()
+	}
+	return err
+}
--- a/internal/platform/front_test.go
+++ b/internal/platform/front_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"bufio"
+	"errors"
+	"fmt"
 	"io"
 	"log/slog"
 	"net"
 	"os"
+	"syscall"
 	"testing"
 	"time"
 
@@ -15,15 +18,22 @@
 	"violetspan.example/violetspan/internal/sig"
 )
 
-type offers chan core.Caller
+var testForm = Form{Classes: map[string]Class{"space-check": {Width: 1, MaxWait: time.Hour}}, Dests: 3}
+
+type offers chan core.Caller // must have room for all that a test offers
 
 func (o offers) Offer(_ *core.SetUp, from core.Caller) error { o <- from; return nil }
 func (o offers) Leave(uint64)                                {}
 
 // newFront serves a front whose callers may be silent for the times given.
-func newFront(t *testing.T, idle, rest time.Duration) net.Conn {
-	f := NewFront(map[string]int{"space-check": 0}, 8, slog.New(slog.DiscardHandler))
-	f.Calls, f.idle, f.rest = make(offers, 1), idle, rest
+func newFront(t *testing.T, silent, rest time.Duration) net.Conn {
+	_, dial := serveFront(t, 8, 8, silent, rest)
+	return dial()
+}
+
+func serveFront(t *testing.T, conns, open int, silent, rest time.Duration) (*Front, func() net.Conn) {
+	f := NewFront(testForm, conns, open, slog.New(slog.DiscardHandler))
+	f.Calls, f.silent, f.rest = make(offers, 1000), silent, rest
 	ln, err := Listen(t.Context(), "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -37,27 +47,157 @@
 		}
 		f.Close()
 	})
-	c, err := net.Dial("tcp", ln.Addr().String())
+	return f, func() net.Conn {
+		c, err := net.Dial("tcp", ln.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { c.Close() })
+		c.SetDeadline(time.Now().Add(20 * time.Second))
+		return c
+	}
+}
+
+// offered waits for a set-up that reaches the core.
+func offered(t *testing.T, f *Front) core.Caller {
+	t.Helper()
+	select {
+	case from := <-f.Calls.(offers):
+		return from
+	case <-time.After(20 * time.Second):
+		t.Fatal("no set-up was offered")
+		return nil
+	}
+}
+
+// say sends a message, and hear reads one; "" for the end of the connection.
+func say(t *testing.T, c net.Conn, m sig.Message) {
+	t.Helper()
+	b, err := m.Append(nil)
+	if err == nil {
+		_, err = c.Write(b)
+	}
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(func() { c.Close() })
-	c.SetDeadline(time.Now().Add(20 * time.Second))
-	return c
+}
+
+func hear(t *testing.T, c net.Conn) string {
+	t.Helper()
+	m, err := sig.Read(c)
+	if err == io.EOF || errors.Is(err, syscall.ECONNRESET) {
+		return ""
+	} else if err != nil {
+		t.Fatal(err)
+	}
+	return fmt.Sprintf("%d %x %d", m.Type, m.Call, m.Cause())
+}
+
+func setUpOf(id uint64) sig.Message {
+	return sig.Message{Type: sig.SetUp, Call: id, Params: []sig.Param{{Code: sig.ParamClass, Value: []byte("space-check")},
+		{Code: sig.ParamWait, Value: []byte("60000")}, {Code: sig.ParamFigures, Value: []byte("dest:1")},
+		{Code: sig.ParamNumber, Value: []byte("1")}, {Code: sig.ParamDescription, Value: []byte("d")}}}
+}
+
+var test, passed = sig.WithCause(sig.Test, 0, 0), "53 0 1"
+
+// Guards against callers that fill all places and keep them: the connection that
+// is missed least makes room, one with an open set-up never.
+func TestRoomIsMadeForNewCallers(t *testing.T) {
+	f, dial := serveFront(t, 3, 100, time.Hour, time.Hour)
+	busy, asked, mute := dial(), dial(), dial()
+	say(t, busy, setUpOf(7))
+	from := offered(t, f)
+	say(t, asked, test)
+	if got := hear(t, asked); got != passed {
+		t.Fatalf("got %q", got)
+	}
+	f.mu.Lock()
+	for c := range f.conns {
+		c.last = c.last.Add(-time.Hour) // the silent one is past its first moment
+	}
+	f.mu.Unlock()
+	for _, out := range []net.Conn{mute, asked} {
+		c := dial()
+		if got := hear(t, out); got != "" {
+			t.Errorf("got %q, want the end of the connection", got)
+		}
+		say(t, c, setUpOf(uint64(f.Conns())<<32|uint64(len(f.owner))))
+		offered(t, f)
+	}
+	last := dial() // no one to close: all have set-ups open
+	if got := hear(t, last); got != "" {
+		t.Errorf("got %q, want the end of the connection", got)
+	}
+	from.Fail(7)
+	if got := hear(t, busy); got != "12 7 41" {
+		t.Errorf("got %q for the call that was open all the time", got)
+	}
+}
+
+// Guards against one bad caller that takes the room of all: until a call was set
+// up for it, a connection may have few set-ups open.
+func TestNewCallersHaveFewSetUpsOpen(t *testing.T) {
+	f, dial := serveFront(t, 8, 1000, time.Hour, time.Hour)
+	c := dial()
+	for id := uint64(1); id <= untrustedOpen+1; id++ {
+		say(t, c, setUpOf(id))
+	}
+	if got, want := hear(t, c), fmt.Sprintf("12 %x %d", untrustedOpen+1, sig.CauseCongestion); got != want {
+		t.Fatalf("got %q, want %q", got, want)
+	}
+	from := offered(t, f)
+	if err := from.Answer(1, []byte("d")); err != nil {
+		t.Fatal(err)
+	}
+	hear(t, c)
+	for id := uint64(100); id < 200; id++ {
+		say(t, c, setUpOf(id))
+	}
+	for range untrustedOpen - 1 + 100 {
+		offered(t, f)
+	}
+}
+
+// Guards against a release that a connection swallows: a caller who acknowledged
+// one is told again on another connection.
+func TestReleaseIsRepeatedElsewhere(t *testing.T) {
+	f, dial := serveFront(t, 8, 8, time.Hour, time.Hour)
+	a, b := dial(), dial()
+	say(t, a, setUpOf(1))
+	from := offered(t, f)
+	say(t, b, test)
+	hear(t, b)
+	for _, id := range []uint64{1, 2} {
+		from.Release(id, false)
+		if got, want := hear(t, a), fmt.Sprintf("12 %x 16", id); got != want {
+			t.Fatalf("got %q, want %q", got, want)
+		}
+		if id == 1 {
+			say(t, a, sig.Message{Type: sig.Heard, Call: 1})
+			say(t, a, test) // once its answer is here, the acknowledgement was read
+			hear(t, a)
+		}
+	}
+	if got := hear(t, b); got != "12 2 16" {
+		t.Errorf("got %q, want the release that was not acknowledged", got)
+	}
+	say(t, b, sig.Message{Type: sig.Heard, Call: 2})
+	f.Parted(t.Context())
 }
 
 // Guards against callers that hold a descriptor for good: silent ones, and
 // those that never finish a message.
 func TestSilentCallersAreClosed(t *testing.T) {
 	for name, tc := range map[string]struct {
-		sends      string
-		idle, rest time.Duration
+		sends        string
+		silent, rest time.Duration
 	}{
 		"silent":         {"", time.Millisecond, time.Hour},
 		"half a message": {"\x00\x0d\x34\x00", time.Hour, time.Millisecond},
 	} {
 		t.Run(name, func(t *testing.T) {
-			c := newFront(t, tc.idle, tc.rest)
+			c := newFront(t, tc.silent, tc.rest)
 			if _, err := c.Write([]byte(tc.sends)); err != nil {
 				t.Fatal(err)
 			}
@@ -93,16 +233,15 @@
 // Guards against a caller that is closed for its silence while it waits for
 // its answer.
 func TestWaitingCallersAreNotClosed(t *testing.T) {
-	m := sig.Message{Type: sig.SetUp, Call: 7, Params: []sig.Param{{Code: sig.ParamClass, Value: []byte("space-check")},
-		{Code: sig.ParamWait, Value: []byte("60000")}, {Code: sig.ParamFigures, Value: []byte("dest:1")}}}
+	m := setUpOf(7)
 	b, err := m.Append(nil)
 	if err != nil {
 		t.Fatal(err)
 	}
-	f := NewFront(map[string]int{"space-check": 0}, 8, slog.New(slog.DiscardHandler))
+	f := NewFront(testForm, 8, 8, slog.New(slog.DiscardHandler))
 	f.Calls = make(offers, 1)
 	nc := &mute{sends: b, events: make(chan string, 4)}
-	c := &conn{front: f, Conn: nc, open: map[uint64]bool{}, unheard: map[uint64]orphan{}}
+	c := newConn(f, nc, time.Now())
 	c.read()
 	if diff := cmp.Diff([]string{"read on", "closed"}, []string{<-nc.events, <-nc.events}); diff != "" {
 		t.Errorf("after the silence (-want +got):\n%s", diff)
--- a/internal/proxy/mixed_test.go
+++ b/internal/proxy/mixed_test.go
@@ -254,7 +254,8 @@
 			m := sig.Message{Type: sig.SetUp, Call: id, Params: []sig.Param{
 				{Code: sig.ParamClass, Value: []byte("space-check")}, {Code: sig.ParamNumber, Value: []byte(number)},
 				{Code: sig.ParamWait, Value: strconv.AppendInt(nil, wait.Milliseconds(), 10)},
-				{Code: sig.ParamFigures, Value: fmt.Appendf(nil, "dest:%d;width:1;via:-1", 1+id%3)}}}
+				{Code: sig.ParamFigures, Value: fmt.Appendf(nil, "dest:%d;width:1;via:-1", 1+id%3)}, {Code: sig.ParamTenant, Value: []byte("main-lot")},
+				{Code: sig.ParamDescription, Value: []byte("d")}}}
 			b, _ := m.Append(nil)
 			c.Write(b)
 			time.Sleep(5 * time.Millisecond)
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -53,9 +53,10 @@
 )
 
 const (
-	maxCalls   = 4096 // each may hold a message of 16 KiB: 64 MiB of the 192 allowed
+	maxCalls   = 4096 // without a platform, which says how much memory there is
 	adminConns = 16
 
+	maxPools     = 1 << 12
 	otherSockets = 64 // switches, listeners, the command channel, the log
 )
 
@@ -151,6 +152,9 @@
 		owed, standing := p.core.Counts()
 		p.log.Info("calls left at the end", "owed", owed, "standing", standing)
 	}
+	if p.front != nil {
+		p.front.Parted(releases)
+	}
 	stop()
 	end()
 	return g.Wait()
@@ -235,12 +239,14 @@
 	var set *config.Settings
 	if pf := p.platform; pf != nil {
 		set, opt.Seed = &pf.Settings, pf.Seed
-		p.front = platform.NewFront(set.Classes, pf.Sockets/2, p.log)
-		opt.Orphan = p.front.Orphan
+		bounds := pf.Bounds()
+		p.front = platform.NewFront(form(set), bounds.Conns, bounds.Open, p.log)
+		opt.Orphan, opt.MaxCalls = p.front.Orphan, bounds.Calls
 	} else {
 		set, opt.Seed = p.service.Settings, uint64(time.Now().UnixNano())
+		opt.MaxCalls = min(set.OpenCap, maxCalls)
 	}
-	opt.Settings, opt.MaxCalls = set.Brain, min(set.OpenCap, maxCalls)
+	opt.Settings = set.Brain
 	opt.Open = func(m core.Member) (core.Link, error) {
 		dial := platform.Dial
 		if inventory.IsURL(m.Addr) {
@@ -253,6 +259,22 @@
 	return set, opt
 }
 
+// form is what set-ups on the platform must look like by the settings.
+func form(set *config.Settings) platform.Form {
+	f := platform.Form{Classes: map[string]platform.Class{}, Tenants: set.Tenants, Here: set.Brain.Here, Dests: set.Brain.Fleet}
+	if set.Brain.Pools {
+		f.Here, f.Dests = -1, maxPools // the settings don't say how many there are
+	}
+	for name, i := range set.Classes {
+		k := platform.Class{Place: i, MaxWait: set.Brain.Classes[i].Deadline}
+		if set.Widths {
+			k.Width = set.Brain.Classes[i].Width
+		}
+		f.Classes[name] = k
+	}
+	return f
+}
+
 // listenHTTP serves a handler on an address, with TLS if there is a certificate.
 func (p *Proxy) listenHTTP(life context.Context, g *errgroup.Group, key, addr string, conns int, h http.Handler) (net.Addr, func(), error) {
 	ln, err := platform.Listen(life, addr)
--- a/internal/proxy/script_test.go
+++ b/internal/proxy/script_test.go
@@ -102,10 +102,11 @@
 	return s
 }
 
-const settingsJSON = `{"fleetSize":3,"classes":[{"name":"space-check","goalTimeMs":8000,"deadlineMs":60000,"worth":1},
+const settingsJSON = `{"fleetSize":4,"classes":[{"name":"space-check","goalTimeMs":8000,"deadlineMs":60000,"worth":1},
 {"name":"shuttle-video","goalTimeMs":8000,"deadlineMs":60000,"worth":2}],
 "extra":{"here":0,"topology":"meshed","releaseMs":30,"widths":[1,4],"classHoldMs":[11400,18200]},
-"limits":{"mostTries":5,"cancel":true,"dialTimeoutMs":5000},"rules":{"answerSlackMs":20}}`
+"limits":{"mostTries":5,"cancel":true,"dialTimeoutMs":5000},"rules":{"answerSlackMs":20},
+"realms":[{"name":"main-lot"}]}`
 
 // testToken is the bearer token of the tenant acme in these tests.
 const testToken = "a-token-for-tests-only"
--- a/internal/sig/sig.go
+++ b/internal/sig/sig.go
@@ -48,6 +48,7 @@
 	CauseResource   byte = 47
 	CauseContents   byte = 100
 	CauseTimer      byte = 102
+	CauseProtocol   byte = 111
 )
 
 // MaxLength is the most that a message may hold, its length field included.
