Replace a connection to a switch that goes silent and stays open

Ruled out: the switch itself, which went on serving the other nodes, and spoilt messages (none was read). At fault: trunk.Link had no bound on silence (keep waited for the reader alone).

Now trunk.watch closes a connection on which nothing came for half the shortest goal time since a set-up went out, and one that is quiet for six times that; what was open is settled, and released first on the new one. No probe is sent for this.

Test: TestSilentConnectionIsReplaced.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -45,6 +45,16 @@
 	OpenCap     int
 }
 
+// Silence is how long a switch that has a set-up may say nothing at all: half of
+// the shortest goal time, as the module's mark for delays.
+func (s *Settings) Silence() time.Duration {
+	least := s.Brain.Classes[0].Goal
+	for _, k := range s.Brain.Classes {
+		least = min(least, k.Goal)
+	}
+	return least / 2
+}
+
 // Limits that a configuration can't go beyond.
 const (
 	maxClasses = 1000
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -247,6 +247,7 @@
 		opt.MaxCalls = min(set.OpenCap, maxCalls)
 	}
 	opt.Settings = set.Brain
+	times := trunk.Times{Dial: set.DialTimeout, Silence: set.Silence()}
 	opt.Open = func(m core.Member) (core.Link, error) {
 		dial := platform.Dial
 		if inventory.IsURL(m.Addr) {
@@ -254,7 +255,7 @@
 		} else if _, _, err := net.SplitHostPort(m.Addr); err != nil {
 			return nil, err
 		}
-		return trunk.New(life, m, p.core, set.DialTimeout, p.log, dial), nil
+		return trunk.New(life, m, p.core, times, p.log, dial), nil
 	}
 	return set, opt
 }
--- a/internal/trunk/trunk.go
+++ b/internal/trunk/trunk.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"net"
 	"sync"
 	"syscall"
 	"time"
@@ -74,6 +75,12 @@
 	redialMost  = time.Second
 
 	maxOwed = 1024 // releases kept for a switch without a connection
+
+	// A connection may go silent without a sign, and stay open. One on which nothing
+	// came for so many times the silence allowed while a set-up is out, though none
+	// is out, is replaced: a release may be stuck on it, and comes on a new one too.
+	quietTimes = 6
+	quietMost  = time.Minute
 )
 
 // Link keeps one connection to one switch: group states and releases come on
@@ -83,19 +90,24 @@
 	up     Up
 	log    *slog.Logger
 	dial   func(ctx context.Context, addr string) (Conn, error)
-	dialIn time.Duration
+	times  Times
 	ctx    context.Context
 	stop   context.CancelFunc
 	group  errgroup.Group // the keeper and the readers
 	turn   chan struct{}  // held by whoever dials
 	lost   chan struct{}  // a connection has ended: the keeper dials again
+	poke   chan struct{}  // a set-up went out after something was heard: the keeper watches
 
 	mu   sync.Mutex
 	conn Conn
 	done bool            // closed: no new reader
 	open map[uint64]bool // set-ups out on conn, not answered
 	owed []uint64        // releases to send once there is a connection
-	last struct {        // how the last dial went
+	// On the present connection, or what was before:
+	heard time.Time // when something came last, or it was opened
+	asked time.Time // when the first set-up went out since; zero: none
+	mute  bool      // nothing has come on it
+	last  struct {  // how the last dial went
 		at  time.Time
 		err error
 	}
@@ -103,11 +115,17 @@
 	writing sync.Mutex // one message at a time
 }
 
-// New makes a link and starts to connect. A dial may take up to dialIn.
-func New(ctx context.Context, m core.Member, up Up, dialIn time.Duration, log *slog.Logger,
+// Times bound what a link waits for.
+type Times struct {
+	Dial    time.Duration // a dial
+	Silence time.Duration // a word from a switch that has a set-up
+}
+
+// New makes a link and starts to connect.
+func New(ctx context.Context, m core.Member, up Up, times Times, log *slog.Logger,
 	dial func(ctx context.Context, addr string) (Conn, error)) *Link {
-	l := &Link{member: m, up: up, log: log.With("switch", m.ID, "addr", m.Addr), dial: dial, dialIn: dialIn,
-		turn: make(chan struct{}, 1), lost: make(chan struct{}, 1), open: map[uint64]bool{}}
+	l := &Link{member: m, up: up, log: log.With("switch", m.ID, "addr", m.Addr), dial: dial, times: times,
+		turn: make(chan struct{}, 1), lost: make(chan struct{}, 1), poke: make(chan struct{}, 1), open: map[uint64]bool{}}
 	l.ctx, l.stop = context.WithCancel(ctx)
 	l.group.Go(l.keep)
 	return l
@@ -119,10 +137,7 @@
 	for l.ctx.Err() == nil {
 		if _, err := l.connect(l.ctx); err == nil {
 			gap = redialFirst
-			select {
-			case <-l.lost:
-			case <-l.ctx.Done():
-			}
+			l.watch()
 			continue
 		} else if errors.Is(err, syscall.ECONNREFUSED) {
 			l.up.Dead(l.member.ID) // nothing listens: its process is gone, and its calls with it
@@ -141,6 +156,58 @@
 	return nil
 }
 
+// watch waits until the connection ends, and ends it when it has gone silent.
+func (l *Link) watch() {
+	quiet := quietTimes * l.times.Silence
+	for {
+		l.mu.Lock()
+		conn, until, asked := l.conn, l.heard.Add(quiet), !l.asked.IsZero()
+		if asked {
+			until = l.asked.Add(l.times.Silence)
+		}
+		l.mu.Unlock()
+		if conn != nil && !time.Now().Before(until) {
+			if asked {
+				l.log.Warn("connection to a switch is silent", "for", l.times.Silence)
+			}
+			conn.Close()
+			until = time.Now().Add(quiet) // its reader is about to say that it is lost
+		}
+		limit := time.NewTimer(time.Until(until))
+		select {
+		case <-l.lost:
+			limit.Stop()
+			l.mu.Lock()
+			if l.mute {
+				quiet = min(2*quiet, quietMost) // nothing to say there
+			} else {
+				quiet = quietTimes * l.times.Silence
+			}
+			gone := l.conn == nil
+			l.mu.Unlock()
+			if !gone {
+				continue // another caller has dialled again
+			}
+			if _, err := l.connect(l.ctx); err != nil {
+				return
+			}
+		case <-l.ctx.Done():
+			limit.Stop()
+			return
+		case <-l.poke:
+			limit.Stop()
+		case <-limit.C:
+		}
+	}
+}
+
+// said notes that something came on a connection.
+func (l *Link) said() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.heard, l.asked, l.mute = time.Now(), time.Time{}, false
+}
+
 // connect returns the connection, dialling if there is none. Who waits while
 // another dials takes that dial's result.
 func (l *Link) connect(ctx context.Context) (Conn, error) {
@@ -160,7 +227,7 @@
 	if last.err != nil && last.at.After(asked) {
 		return nil, last.err
 	}
-	dctx, cancel := context.WithTimeout(l.ctx, l.dialIn)
+	dctx, cancel := context.WithTimeout(l.ctx, l.times.Dial)
 	defer cancel()
 	conn, err := l.dial(dctx, l.member.Addr)
 	l.mu.Lock()
@@ -190,7 +257,7 @@
 		conn.Close()
 		return nil, context.Canceled
 	}
-	l.conn = conn
+	l.conn, l.heard, l.asked, l.mute = conn, time.Now(), time.Time{}, true
 	l.group.Go(func() error {
 		l.read(conn)
 		return nil
@@ -205,11 +272,12 @@
 	for {
 		ev, err := conn.Read()
 		if err != nil {
-			if l.ctx.Err() == nil && !errors.Is(err, io.EOF) {
+			if l.ctx.Err() == nil && !errors.Is(err, io.EOF) && !errors.Is(err, net.ErrClosed) {
 				l.log.Warn("connection to a switch broke", "error", err)
 			}
 			break
 		}
+		l.said()
 		if ev.Note != nil {
 			l.log.Warn("message of a switch with something unknown", "error", ev.Note)
 		}
@@ -303,8 +371,16 @@
 		return core.ErrNotReached // it ended a moment ago
 	}
 	err := l.write(conn, mayGo, func() error { return conn.SetUp(s, until) })
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	if err != nil {
-		l.forget(s.ID)
+		delete(l.open, s.ID)
+	} else if l.conn == conn && l.open[s.ID] && l.asked.IsZero() {
+		l.asked = time.Now()
+		select {
+		case l.poke <- struct{}{}:
+		default:
+		}
 	}
 	return err
 }
--- a/internal/trunk/trunk_test.go
+++ b/internal/trunk/trunk_test.go
@@ -56,7 +56,7 @@
 	defer cancel()
 	reachable, tried := make(chan struct{}), make(chan struct{}, 16)
 	conn := &recorder{said: make(chan string, 8), closed: make(chan struct{})}
-	l := New(ctx, core.Member{ID: "s1", Addr: "addr"}, deaf{}, time.Minute, slog.New(slog.DiscardHandler),
+	l := New(ctx, core.Member{ID: "s1", Addr: "addr"}, deaf{}, Times{time.Minute, time.Minute}, slog.New(slog.DiscardHandler),
 		func(ctx context.Context, _ string) (Conn, error) {
 			tried <- struct{}{}
 			select {
@@ -81,3 +81,23 @@
 		t.Errorf("written (-want +got):\n%s", diff)
 	}
 }
+
+// Guards against a connection that goes silent without a sign and stays open: with
+// a set-up out it is given up and dialled afresh, and the set-up is released there.
+func TestSilentConnectionIsReplaced(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	said := make(chan string, 8) // on whichever connection: an idle one is replaced too
+	l := New(ctx, core.Member{ID: "s1", Addr: "addr"}, deaf{}, Times{time.Minute, 30 * time.Millisecond}, slog.New(slog.DiscardHandler),
+		func(ctx context.Context, _ string) (Conn, error) {
+			return &recorder{said: said, closed: make(chan struct{})}, nil
+		})
+	defer l.Close()
+	if err := l.SetUp(ctx, &core.SetUp{ID: 0xc3}, time.Now(), nil); err != nil {
+		t.Fatal(err)
+	}
+	got := []string{<-said, <-said}
+	if diff := cmp.Diff([]string{"set up 00000000000000c3", "release 00000000000000c3"}, got); diff != "" {
+		t.Errorf("written (-want +got):\n%s", diff)
+	}
+}
