Send calls for the own exchange by a tandem instead of refusing them

Checked with a trace: nearly every late call was one for the exchange of the proxy that took it. While a proxy is away its callers come to the others, and a third to a half of their calls are for the exchange there. Ruled out: lost answers, slow restarts (0 s), calls left at an exit.

--- a/internal/platform/form.go
+++ b/internal/platform/form.go
@@ -17,7 +17,6 @@
 	Classes map[string]Class
 	Tenants map[string]bool // nil: any
 	Dests   int             // destinations are numbered below this
-	Here    int             // the own exchange, which is no destination; -1: none
 }
 
 // Class is what set-ups of a class have.
@@ -83,7 +82,7 @@
 	switch {
 	case s.Dest < 0:
 		return nil, errNoDest
-	case s.Dest >= f.Dests || s.Dest == f.Here:
+	case s.Dest >= f.Dests:
 		return nil, fmt.Errorf("destination %d", s.Dest)
 	case s.Width == -1:
 		s.Width = max(1, class.Width)
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -262,9 +262,9 @@
 
 // form is what set-ups on the platform must look like by the settings.
 func form(set *config.Settings) platform.Form {
-	f := platform.Form{Classes: map[string]platform.Class{}, Tenants: set.Tenants, Here: set.Brain.Here, Dests: set.Brain.Fleet}
+	f := platform.Form{Classes: map[string]platform.Class{}, Tenants: set.Tenants, Dests: set.Brain.Fleet}
 	if set.Brain.Pools {
-		f.Here, f.Dests = -1, maxPools // the settings don't say how many there are
+		f.Dests = maxPools // the settings don't say how many there are
 	}
 	for name, i := range set.Classes {
 		k := platform.Class{Place: i, MaxWait: set.Brain.Classes[i].Deadline}
