--- a/brain/brain.go
+++ b/brain/brain.go
@@ -581,11 +581,8 @@
 		}
 		return
 	}
-	// A call for the own exchange came here as its own exchange's controller is away:
-	// it has no direct route, only ways round.
-	home := k.dest == c.set.Here
 	down := k.sends >= c.set.MaxAttempts || c.now >= k.expires-c.set.AnswerSlack ||
-		d == nil && !c.set.Pools && !home || d != nil && d.shut() && !c.mayLoad(d)
+		d == nil && !c.set.Pools || d != nil && d.shut() && !c.mayLoad(d)
 	if down || c.late(k) && !c.spare(k, d) {
 		c.refuse(k)
 		return
@@ -595,7 +592,7 @@
 		return
 	}
 	c.claim(k)
-	if t := c.tandem(k); t != nil && (c.set.Pools || d == nil || !d.shut()) {
+	if t := c.tandem(k); t != nil && (c.set.Pools || !d.shut()) {
 		c.load(k, t, d)
 		return
 	}
