Check numbers and destinations on the call API too, and bound what it keeps by memory

Seen: what bad callers taught the platform's front was open on the other one. Its check took any 64 bytes as a number, which goes on to switches of the platform that close on what they can't read, with every call on that connection; it took any destination, and the module keeps a group for each it has ever heard of. What it keeps for clients was 32 MiB whatever the memory, with 32 MB allowed in all.

Now core.IsNumber serves both fronts, destinations are bounded, config.Bounds gives the call API an eighth of the memory where it runs beside the platform, and headers of an upgrade must come within 2 s, as a first message on the platform.

Tests: TestNumbersAndDestinationsAreChecked, TestBoundsFollowTheLimits.

--- a/internal/callapi/front.go
+++ b/internal/callapi/front.go
@@ -36,6 +36,8 @@
 	Log     *slog.Logger
 	Keep    time.Duration // how long an answer is kept for a client that comes back
 	MaxKept int           // calls held at once, those that are over included
+	MaxSize int           // bytes of their descriptions
+	Dests   int           // destinations are numbered below this
 
 	mu     sync.Mutex
 	shares map[string]*share // by tenant
@@ -103,9 +105,8 @@
 	pingWait     = 5 * time.Second
 	closeWait    = 2 * time.Second
 	messageRest  = 2 * time.Second // a message of a client ends within this once it has begun
-	maxKeptBytes = 32 << 20
-	keptShare    = 4  // one tenant holds at most this part of what is kept
-	maxBad       = 20 // unreadable messages on one socket before it is closed
+	keptShare    = 4               // one tenant holds at most this part of what is kept
+	maxBad       = 20              // unreadable messages on one socket before it is closed
 	retryDefault = time.Second
 )
 
@@ -411,8 +412,8 @@
 // hasRoom says whether a tenant may have another call kept. Each has a share, so
 // that none takes the room of all.
 func (f *Front) hasRoom(sh *share) bool {
-	return f.kept.calls < f.MaxKept && f.kept.bytes < maxKeptBytes &&
-		sh.used.calls < max(1, f.MaxKept/keptShare) && sh.used.bytes < maxKeptBytes/keptShare
+	return f.kept.calls < f.MaxKept && f.kept.bytes < f.MaxSize &&
+		sh.used.calls < max(1, f.MaxKept/keptShare) && sh.used.bytes < f.MaxSize/keptShare
 }
 
 // count adds to what is kept, or takes from it.
@@ -433,9 +434,9 @@
 		why = fmt.Sprintf("call: 1 to %d bytes are wanted", maxID)
 	case !known:
 		why = fmt.Sprintf("class: %q is not known", clip(m.Class))
-	case m.Number == "" || len(m.Number) > maxNumber:
-		why = fmt.Sprintf("number: 1 to %d bytes are wanted", maxNumber)
-	case m.Dest == nil || *m.Dest < 0:
+	case !core.IsNumber(m.Number):
+		why = fmt.Sprintf("number: 1 to %d decimal or hexadecimal digits are wanted", core.MaxNumber)
+	case m.Dest == nil || *m.Dest < 0 || *m.Dest >= f.Dests:
 		why = "dest: a number of an exchange is wanted"
 	case m.Width < 0 || m.Width > maxWidth:
 		why = fmt.Sprintf("width: a number from 1 to %d is wanted", maxWidth)
--- a/internal/callapi/front_test.go
+++ b/internal/callapi/front_test.go
@@ -33,7 +33,7 @@
 func newFront(t *testing.T, maxKept int) (f *Front, o offers, dial func(tenant string) *websocket.Conn) {
 	o = offers{make(chan core.Caller, 1000), new(atomic.Int32)}
 	f = &Front{Calls: o, Tenants: tenant.New(time.Now), Classes: map[string]Class{"space-check": {Width: 1}},
-		Log: slog.New(slog.DiscardHandler), Keep: time.Minute, MaxKept: maxKept}
+		Log: slog.New(slog.DiscardHandler), Keep: time.Minute, MaxKept: maxKept, MaxSize: 32 << 20, Dests: 4}
 	for _, id := range []string{"acme", "other"} {
 		if err := f.Tenants.Create(tenant.Spec{ID: id, TokenSHA256: tenant.Hash(id + "-token")}, "test"); err != nil {
 			t.Fatal(err)
@@ -174,7 +174,7 @@
 		}
 	}
 	f.mu.Lock()
-	f.share("acme").used = usage{1, maxKeptBytes / keptShare}
+	f.share("acme").used = usage{1, f.MaxSize / keptShare}
 	f.mu.Unlock()
 	for range 6 { // three answers and three releases
 		if _, err := read(t.Context(), c, time.Minute); err != nil {
@@ -231,3 +231,27 @@
 		}
 	}
 }
+
+// Guards against set-ups that a switch of the platform can't read, and against
+// destinations without end, each of which the module would remember.
+func TestNumbersAndDestinationsAreChecked(t *testing.T) {
+	f := &Front{Classes: map[string]Class{"space-check": {}}, Dests: 4}
+	for _, c := range []struct {
+		number string
+		dest   int
+		want   string
+	}{
+		{"4711", 3, ""},
+		{"7f3a9c21e0b4d655", 0, ""},
+		{"", 1, "number:"},
+		{"47 11\n", 1, "number:"},
+		{strings.Repeat("1", core.MaxNumber+1), 1, "number:"},
+		{"4711", 4, "dest:"},
+		{"4711", -1, "dest:"},
+	} {
+		_, _, err := f.check(message{Call: "a", Class: "space-check", Number: c.number, Dest: &c.dest, WaitMs: 100})
+		if c.want == "" && err != nil || c.want != "" && (err == nil || !strings.HasPrefix(err.Error(), c.want)) {
+			t.Errorf("%+v: got %v", c, err)
+		}
+	}
+}
--- a/internal/callapi/message.go
+++ b/internal/callapi/message.go
@@ -24,7 +24,6 @@
 	maxMessage     = 16 << 10
 	maxDescription = 8 << 10 // as bytes: it must fit the platform's messages too
 	maxID          = 64
-	maxNumber      = 64
 	maxWidth       = 1 << 10
 	maxWait        = time.Minute
 )
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -123,10 +123,12 @@
 
 // Bounds are the parts of a platform's limits that its front and core may use.
 type Bounds struct {
-	Conns int   // connections from callers
-	Open  int   // set-ups open at once
-	Calls int   // calls at once, those that stand included
-	Soft  int64 // bytes of memory from which on garbage is collected at once
+	Conns int // connections from callers
+	Open  int // set-ups open at once
+	Calls int // calls at once, those that stand included
+	// What the call API keeps for its clients, where it serves beside the platform.
+	Kept, KeptBytes int
+	Soft            int64 // bytes of memory from which on garbage is collected at once
 }
 
 // Shares of the limits, and what one thing of a kind takes of the memory at most:
@@ -137,16 +139,17 @@
 	connBytes = 16 << 10
 	openBytes = 24 << 10
 	callBytes = 6 << 10
+	keptBytes = 1 << 10
 	mostCalls = 8192
 )
 
 // Bounds works the bounds out. A quarter of the memory is for each of the three
-// kinds, at most; the rest is for all else.
+// kinds, at most; the rest is for all else, half of it for what the call API keeps.
 func (p *Platform) Bounds() Bounds {
 	quarter := p.MemoryMB << 20 / 4
 	calls := min(p.Settings.OpenCap, mostCalls, quarter/callBytes)
 	return Bounds{Conns: min(p.Sockets/2, quarter/connBytes), Calls: calls, Open: min(calls, quarter/openBytes),
-		Soft: int64(p.MemoryMB) << 20 / 4 * 3}
+		Kept: quarter / 2 / keptBytes, KeptBytes: quarter / 2, Soft: int64(p.MemoryMB) << 20 / 4 * 3}
 }
 
 // Fixed names the first key in which a configuration read later differs and
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -127,3 +127,20 @@
 		t.Errorf("got %+v", s)
 	}
 }
+
+// Guards against bounds that a small machine can't hold: what each kind may take
+// stays within a quarter of the memory, and connections within half the descriptors.
+func TestBoundsFollowTheLimits(t *testing.T) {
+	for _, c := range []struct {
+		memory, sockets int
+		want            Bounds
+	}{
+		{32, 256, Bounds{Conns: 128, Open: 341, Calls: 1365, Kept: 4096, KeptBytes: 4 << 20, Soft: 24 << 20}},
+		{192, 1024, Bounds{Conns: 512, Open: 2048, Calls: 8192, Kept: 24576, KeptBytes: 24 << 20, Soft: 144 << 20}},
+	} {
+		p := Platform{MemoryMB: c.memory, Sockets: c.sockets, Settings: Settings{OpenCap: 20000}}
+		if diff := cmp.Diff(c.want, p.Bounds()); diff != "" {
+			t.Errorf("%d MB, %d descriptors (-want +got):\n%s", c.memory, c.sockets, diff)
+		}
+	}
+}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -37,6 +37,24 @@
 	Deadline    time.Time // when its caller gives up
 }
 
+// MaxNumber is the most digits that a number called has.
+const MaxNumber = 64
+
+// IsNumber says whether a text can be a number called: decimal or hexadecimal
+// digits. A switch may close its connection on anything else, with every call on
+// it, so no front lets it pass.
+func IsNumber(v string) bool {
+	if v == "" || len(v) > MaxNumber {
+		return false
+	}
+	for _, c := range []byte(v) {
+		if !('0' <= c && c <= '9' || 'a' <= c && c <= 'f' || 'A' <= c && c <= 'F') {
+			return false
+		}
+	}
+	return true
+}
+
 // Caller is where a call came from. Its methods may block for no longer than a
 // write deadline; each is called by the call's own goroutine.
 type Caller interface {
--- a/internal/platform/form.go
+++ b/internal/platform/form.go
@@ -26,10 +26,7 @@
 	MaxWait time.Duration // its callers wait no longer than this
 }
 
-const (
-	maxNumber = 64
-	maxWidth  = 1 << 10
-)
+const maxWidth = 1 << 10
 
 var (
 	errNoID   = errors.New("no id")
@@ -53,7 +50,7 @@
 		return nil, fmt.Errorf("tenant %.40q is not known", s.Tenant)
 	case err != nil || !(wait >= 0) || math.IsInf(wait, 0):
 		return nil, fmt.Errorf("a wait of %.40q", m.Get(sig.ParamWait))
-	case !isNumber(s.Number):
+	case !core.IsNumber(s.Number):
 		return nil, fmt.Errorf("number %.40q", s.Number)
 	case s.Description == nil:
 		return nil, errNoBody
@@ -91,16 +88,3 @@
 	}
 	return s, nil
 }
-
-// isNumber says whether a text can be a number called.
-func isNumber(v string) bool {
-	if v == "" || len(v) > maxNumber {
-		return false
-	}
-	for _, c := range []byte(v) {
-		if !('0' <= c && c <= '9' || 'a' <= c && c <= 'f' || 'A' <= c && c <= 'F') {
-			return false
-		}
-	}
-	return true
-}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -56,8 +56,9 @@
 	maxCalls   = 4096 // without a platform, which says how much memory there is
 	adminConns = 16
 
-	maxPools     = 1 << 12
-	otherSockets = 64 // switches, listeners, the command channel, the log
+	maxKeptBytes = 32 << 20
+	maxPools     = 1 << 12 // destinations, where the settings don't say how many there are
+	otherSockets = 64      // switches, listeners, the command channel, the log
 )
 
 // Proxy is one signalling proxy.
@@ -204,7 +205,11 @@
 	if sv := p.service; sv != nil {
 		p.tenants = tenant.New(time.Now)
 		p.api = &callapi.Front{Calls: p.core, Tenants: p.tenants, Log: p.log, Keep: sv.KeepAnswers,
-			MaxKept: sv.MaxKept, Classes: map[string]callapi.Class{}}
+			MaxKept: sv.MaxKept, MaxSize: maxKeptBytes, Dests: maxPools, Classes: map[string]callapi.Class{}}
+		if p.platform != nil {
+			b := p.platform.Bounds()
+			p.api.MaxKept, p.api.MaxSize = min(sv.MaxKept, b.Kept), min(maxKeptBytes, b.KeptBytes)
+		}
 		for name, i := range set.Classes {
 			p.api.Classes[name] = callapi.Class{Place: i, Width: set.Brain.Classes[i].Width}
 		}
@@ -260,12 +265,17 @@
 	return set, opt
 }
 
-// form is what set-ups on the platform must look like by the settings.
-func form(set *config.Settings) platform.Form {
-	f := platform.Form{Classes: map[string]platform.Class{}, Tenants: set.Tenants, Dests: set.Brain.Fleet}
+// dests is how many destinations there are by the settings.
+func dests(set *config.Settings) int {
 	if set.Brain.Pools {
-		f.Dests = maxPools // the settings don't say how many there are
+		return maxPools
 	}
+	return set.Brain.Fleet
+}
+
+// form is what set-ups on the platform must look like by the settings.
+func form(set *config.Settings) platform.Form {
+	f := platform.Form{Classes: map[string]platform.Class{}, Tenants: set.Tenants, Dests: dests(set)}
 	for name, i := range set.Classes {
 		k := platform.Class{Place: i, MaxWait: set.Brain.Classes[i].Deadline}
 		if set.Widths {
@@ -288,7 +298,7 @@
 		served = tls.NewListener(served, &tls.Config{MinVersion: tls.VersionTLS12,
 			GetCertificate: func(*tls.ClientHelloInfo) (*tls.Certificate, error) { return p.cert.Load(), nil }})
 	}
-	srv := &http.Server{Handler: h, ReadHeaderTimeout: 5 * time.Second, ReadTimeout: 10 * time.Second,
+	srv := &http.Server{Handler: h, ReadHeaderTimeout: 2 * time.Second, ReadTimeout: 10 * time.Second,
 		WriteTimeout: 10 * time.Second, IdleTimeout: time.Minute, MaxHeaderBytes: 16 << 10,
 		ErrorLog: slog.NewLogLogger(p.log.Handler(), slog.LevelWarn)}
 	g.Go(func() error {
