Pause after an empty reply of the command channel, and bound two more waits

Read again for loops that can go round without waiting, and bounded each: - Channel.Follow asked again at once after any good reply; one that comes back at once with nothing new is asked without end.

Test: TestEmptyRepliesAreNotAskedForWithoutEnd.

--- a/internal/platform/channel.go
+++ b/internal/platform/channel.go
@@ -155,6 +155,8 @@
 	return c.moved != nil
 }
 
+var errEmpty = errors.New("a reply without events, well before the wait asked for")
+
 // Follow asks for new events until the context ends.
 func (c *Channel) Follow(ctx context.Context) error {
 	tr := &http.Transport{MaxIdleConns: 1, MaxConnsPerHost: 2, DisableCompression: true}
@@ -162,7 +164,11 @@
 	client := &http.Client{Transport: tr}
 	gap := channelFirst
 	for ctx.Err() == nil {
+		asked, had := time.Now(), c.cursor
 		err := c.poll(ctx, client)
+		if err == nil && c.cursor == had && time.Since(asked) < pollBlock/2 {
+			err = errEmpty // asked again at once, it would be asked without end
+		}
 		if err == nil {
 			gap = channelFirst
 			continue
--- a/internal/platform/front_test.go
+++ b/internal/platform/front_test.go
@@ -2,12 +2,16 @@
 
 import (
 	"bufio"
+	"context"
 	"errors"
 	"fmt"
 	"io"
 	"log/slog"
 	"net"
+	"net/http"
+	"net/http/httptest"
 	"os"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -270,3 +274,20 @@
 		t.Error("a third was read from a closed connection")
 	}
 }
+
+// Guards against a command channel that replies at once with nothing new, which
+// would be asked without end.
+func TestEmptyRepliesAreNotAskedForWithoutEnd(t *testing.T) {
+	var asked atomic.Int64
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		asked.Add(1)
+		io.WriteString(w, `{"cursor":0,"cmds":[]}`)
+	}))
+	defer srv.Close()
+	ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
+	defer cancel()
+	c := NewChannel(srv.Listener.Addr().String(), nil, slog.New(slog.DiscardHandler))
+	if err := c.Follow(ctx); err != nil || asked.Load() == 0 || asked.Load() > 20 {
+		t.Errorf("asked %d times, %v", asked.Load(), err)
+	}
+}
--- a/internal/platform/parting.go
+++ b/internal/platform/parting.go
@@ -85,9 +85,13 @@
 		if p.out = false; f.partings[p.id] != p {
 			return // acknowledged already
 		}
-		if err != nil {
+		if other := f.pick(c); err != nil && other != c {
 			f.again(p)
 			return
+		} else if err != nil {
+			// Its reader has not found out yet: no use to try it again at once.
+			p.timer.Reset(repeatFirst)
+			return
 		}
 		wait := unheardFor
 		if f.hears {
--- a/internal/trunk/trunk.go
+++ b/internal/trunk/trunk.go
@@ -171,6 +171,9 @@
 				l.log.Warn("connection to a switch is silent", "for", l.times.Silence)
 			}
 			conn.Close()
+			conn = nil
+		}
+		if conn == nil {
 			until = time.Now().Add(quiet) // its reader is about to say that it is lost
 		}
 		limit := time.NewTimer(time.Until(until))
