Keep a quiet connection to a switch: a draining one takes no other

The replacement of connections without a set-up out, from, closed the one connection left; a draining switch refuses new ones, which the link took for a process that is gone, and all calls standing there were cut.

Now trunk.watch acts only while a set-up is out. Test: TestQuietConnectionIsKept.

--- a/internal/trunk/trunk.go
+++ b/internal/trunk/trunk.go
@@ -76,11 +76,6 @@
 
 	maxOwed = 1024 // releases kept for a switch without a connection
 
-	// A connection may go silent without a sign, and stay open. One on which nothing
-	// came for so many times the silence allowed while a set-up is out, though none
-	// is out, is replaced: a release may be stuck on it, and comes on a new one too.
-	quietTimes = 6
-	quietMost  = time.Minute
 )
 
 // Link keeps one connection to one switch: group states and releases come on
@@ -98,16 +93,13 @@
 	lost   chan struct{}  // a connection has ended: the keeper dials again
 	poke   chan struct{}  // a set-up went out after something was heard: the keeper watches
 
-	mu   sync.Mutex
-	conn Conn
-	done bool            // closed: no new reader
-	open map[uint64]bool // set-ups out on conn, not answered
-	owed []uint64        // releases to send once there is a connection
-	// On the present connection, or what was before:
-	heard time.Time // when something came last, or it was opened
-	asked time.Time // when the first set-up went out since; zero: none
-	mute  bool      // nothing has come on it
-	last  struct {  // how the last dial went
+	mu    sync.Mutex
+	conn  Conn
+	done  bool            // closed: no new reader
+	open  map[uint64]bool // set-ups out on conn, not answered
+	owed  []uint64        // releases to send once there is a connection
+	asked time.Time       // when the first set-up went out since something came; zero: none
+	last  struct {        // how the last dial went
 		at  time.Time
 		err error
 	}
@@ -156,51 +148,39 @@
 	return nil
 }
 
-// watch waits until the connection ends, and ends it when it has gone silent.
+// watch waits until the connection ends, and ends it when it is silent though a
+// set-up is out. Without one it may be silent: a switch that drains takes no new
+// connection, and a release of what stands there can come on this one alone.
 func (l *Link) watch() {
-	quiet := quietTimes * l.times.Silence
 	for {
 		l.mu.Lock()
-		conn, until, asked := l.conn, l.heard.Add(quiet), !l.asked.IsZero()
-		if asked {
-			until = l.asked.Add(l.times.Silence)
-		}
+		conn, asked := l.conn, l.asked
 		l.mu.Unlock()
-		if conn != nil && !time.Now().Before(until) {
-			if asked {
-				l.log.Warn("connection to a switch is silent", "for", l.times.Silence)
-			}
-			conn.Close()
-			conn = nil
-		}
-		if conn == nil {
-			until = time.Now().Add(quiet) // its reader is about to say that it is lost
+		limit := time.NewTimer(time.Hour)
+		if conn != nil && !asked.IsZero() {
+			limit.Reset(time.Until(asked.Add(l.times.Silence)))
 		}
-		limit := time.NewTimer(time.Until(until))
 		select {
 		case <-l.lost:
 			limit.Stop()
-			l.mu.Lock()
-			if l.mute {
-				quiet = min(2*quiet, quietMost) // nothing to say there
-			} else {
-				quiet = quietTimes * l.times.Silence
-			}
-			gone := l.conn == nil
-			l.mu.Unlock()
-			if !gone {
-				continue // another caller has dialled again
-			}
-			if _, err := l.connect(l.ctx); err != nil {
-				return
-			}
+			return
 		case <-l.ctx.Done():
 			limit.Stop()
 			return
-		case <-l.poke:
+		case <-l.poke: // a set-up is the first since something was heard
 			limit.Stop()
+			continue
 		case <-limit.C:
 		}
+		l.mu.Lock()
+		silent := conn != nil && !asked.IsZero() && l.conn == conn && l.asked.Equal(asked)
+		l.mu.Unlock()
+		if silent {
+			l.log.Warn("connection to a switch is silent", "for", l.times.Silence)
+			conn.Close()
+			<-l.lost // its reader says so once what was open is settled
+			return
+		}
 	}
 }
 
@@ -208,7 +188,7 @@
 func (l *Link) said() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.heard, l.asked, l.mute = time.Now(), time.Time{}, false
+	l.asked = time.Time{}
 }
 
 // connect returns the connection, dialling if there is none. Who waits while
@@ -260,7 +240,7 @@
 		conn.Close()
 		return nil, context.Canceled
 	}
-	l.conn, l.heard, l.asked, l.mute = conn, time.Now(), time.Time{}, true
+	l.conn, l.asked = conn, time.Time{}
 	l.group.Go(func() error {
 		l.read(conn)
 		return nil
--- a/internal/trunk/trunk_test.go
+++ b/internal/trunk/trunk_test.go
@@ -87,7 +87,7 @@
 func TestSilentConnectionIsReplaced(t *testing.T) {
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
-	said := make(chan string, 8) // on whichever connection: an idle one is replaced too
+	said := make(chan string, 8) // on whichever connection
 	l := New(ctx, core.Member{ID: "s1", Addr: "addr"}, deaf{}, Times{time.Minute, 30 * time.Millisecond}, slog.New(slog.DiscardHandler),
 		func(ctx context.Context, _ string) (Conn, error) {
 			return &recorder{said: said, closed: make(chan struct{})}, nil
@@ -101,3 +101,23 @@
 		t.Errorf("written (-want +got):\n%s", diff)
 	}
 }
+
+// Guards against closing the one connection on which a draining switch, which takes
+// no new one, can still release what stands there.
+func TestQuietConnectionIsKept(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	dials := make(chan bool, 64)
+	l := New(ctx, core.Member{ID: "s1", Addr: "addr"}, deaf{}, Times{time.Minute, time.Millisecond}, slog.New(slog.DiscardHandler),
+		func(ctx context.Context, _ string) (Conn, error) {
+			dials <- true
+			return &recorder{said: make(chan string, 8), closed: make(chan struct{})}, nil
+		})
+	defer l.Close()
+	<-dials
+	select {
+	case <-dials:
+		t.Error("a connection without a set-up out was replaced")
+	case <-time.After(100 * time.Millisecond):
+	}
+}
