Follow weights worked out ahead in the module, and experiment on the mesh

Need: tandems were drawn without knowledge of the second leg, and every group kept the same reserve.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -38,6 +38,7 @@
 	minWindow    = 2   // attempts out at a processor, at least
 	waysPerCall  = 0.5 // ways round that may be turned back, for each call that stands; half a block too
 	usualSkew    = 4.0 // usual traffic between two exchanges, against an equal share, at most
+	guardMost    = 4.0 // reserve of a group whose circuits are worth a call's worth, against the usual
 )
 
 // Controller decides for one exchange (or one front of pools). It is not safe
@@ -65,6 +66,12 @@
 	rate    rate    // first set-ups sent to all
 	ways    float64 // ways round that may still be turned back
 	sweep   time.Duration
+
+	version uint64 // of the last plan heard of
+	until   time.Duration
+	planned bool                    // a plan is in force
+	weights map[int]map[int]float64 // by destination and tandem
+	guards  map[int]float64         // by the exchange that the group leads to
 }
 
 // group is the trunk group (or the free agents) toward one exchange.
@@ -198,6 +205,7 @@
 func (c *Controller) Handle(now time.Duration, ev Event) []Action {
 	c.now = max(now, c.now)
 	c.out = c.out[:0]
+	c.lapse()
 	switch e := ev.(type) {
 	case Listed:
 		c.listed(e)
@@ -213,6 +221,8 @@
 		}
 	case Probed:
 		c.report(c.hosts[e.Host], e.Report)
+	case Planned:
+		c.plan(e)
 	}
 	c.runDue()
 	return c.out
@@ -220,6 +230,37 @@
 
 func (c *Controller) act(a Action) { c.out = append(c.out, a) }
 
+// plan takes weights worked out ahead into force.
+func (c *Controller) plan(e Planned) {
+	if e.Version <= c.version {
+		return
+	}
+	c.version, c.until, c.planned = e.Version, e.Until, len(e.Weights)+len(e.Guards) > 0
+	c.weights, c.guards = map[int]map[int]float64{}, map[int]float64{}
+	for _, w := range e.Weights {
+		if c.weights[w.Dest] == nil {
+			c.weights[w.Dest] = map[int]float64{}
+		}
+		if w.Weight > 0 && !math.IsInf(w.Weight, 1) {
+			c.weights[w.Dest][w.Tandem] = w.Weight
+		}
+	}
+	for _, g := range e.Guards {
+		c.guards[g.Toward] = min(max(g.Value, 0), 1)
+	}
+	for _, g := range c.groups {
+		g.tandem = -1 // drawn before the plan was known
+	}
+}
+
+// lapse ends a plan that is past its time: its loads are another day's.
+func (c *Controller) lapse() {
+	if c.planned && c.now >= c.until {
+		c.planned = false
+		c.act(Log{fmt.Sprintf("plan %d is past its time: dropped", c.version)})
+	}
+}
+
 // runDue does what the clock alone makes due, and asks to be woken for the rest.
 func (c *Controller) runDue() {
 	for len(c.resting) > 0 && c.resting[0].restTill <= c.now {
@@ -672,7 +713,11 @@
 		return 0
 	}
 	size := max(c.groupOf(n).size, 0)
-	return min(int(math.Ceil(math.Sqrt(float64(size))/2)), size/4)
+	keep := math.Sqrt(float64(size)) / 2
+	if c.planned && len(c.guards) > 0 {
+		keep *= 1 + (guardMost-1)*c.guards[n] // what is dear to direct calls is kept for them
+	}
+	return min(int(math.Ceil(keep)), size/4)
 }
 
 // tandem is the way round for a call whose direct group is full: the tandem
@@ -680,10 +725,15 @@
 // which this one has many free circuits is likely large, with room to the
 // destination too, where others have few circuits there or no group at all: the
 // draw goes by the cube of the free circuits. It hurts where all draw the same one.
+//
+// Departure: with a plan the draw goes by its weight, which knows the second leg and
+// what others send there, times the room of the own group; those that left have no
+// part in it. Tandems without a weight are drawn as above when no other will do. It
+// should hold while loads are near the plan's; it hurts when they have moved on.
 func (c *Controller) tandem(k *call) *far {
 	g := c.groupOf(k.dest)
-	var pick *far
-	sum := 0
+	var pick, best *far
+	sum, heavy := 0, 0.0
 	for _, f := range c.fars {
 		if c.ways < 1 || c.byNum[f.number] != f || f.number == k.dest || slices.Contains(k.tried, f.number) ||
 			f.shut() || f.pressed || !c.mayLoad(f) || c.now < g.blocks[f.number].until ||
@@ -695,10 +745,20 @@
 			return f
 		}
 		n := max(1, c.groupOf(f.number).free)
+		if w := c.weights[k.dest][f.number]; c.planned && w > 0 {
+			if w *= float64(n); c.rng.Float64()*(heavy+w) >= heavy {
+				best = f
+			}
+			heavy += w
+			continue
+		}
 		if sum += n * n * n; c.rng.IntN(sum) < n*n*n {
 			pick = f
 		}
 	}
+	if best != nil {
+		pick = best
+	}
 	if pick != nil {
 		g.tandem = pick.number
 	}
--- a/brain/interface.go
+++ b/brain/interface.go
@@ -99,6 +99,30 @@
 	Report Report
 }
 
+// Planned brings weights worked out ahead. One with no Weights and no Guards ends
+// what was in force; an event whose Version is not above the last one's is ignored.
+type Planned struct {
+	Version uint64
+	Until   time.Duration // clock time from which it no longer holds
+	Weights []Weight
+	Guards  []Guard
+}
+
+// Weight is how well a tandem suits calls to a destination, against others for the
+// same destination: what the plan sends that way and what is spare beyond the own
+// group. Above 0; a tandem that has none is taken when no other will do.
+type Weight struct {
+	Dest, Tandem int
+	Weight       float64
+}
+
+// Guard is what a circuit of the own group toward an exchange is worth to calls that
+// go direct, against the dearest call that could hold it: 0 to 1.
+type Guard struct {
+	Toward int
+	Value  float64
+}
+
 // Woken tells that the time asked for by a Wake has come.
 type Woken struct{}
 
@@ -108,6 +132,7 @@
 func (Withdrawn) isEvent() {}
 func (Listed) isEvent()    {}
 func (Probed) isEvent()    {}
+func (Planned) isEvent()   {}
 func (Woken) isEvent()     {}
 
 // Report is what came with an answer: the trunk group's state, true at that
--- /dev/null
+++ b/internal/lab/lab_test.go
@@ -0,0 +1,124 @@
+package lab
+
+import (
+	"bytes"
+	"context"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+// The same file gives the same runs, whatever the cores do, and all is written.
+func TestExperiment(t *testing.T) {
+	e, err := Parse("x.yaml", []byte("name: short\nsizes: [4, 5]\nseeds: 3\nlength_s: 12\ntroubles: 1\npolicies: [weights, module, even, direct, module-even]\n"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	text := func() string {
+		calls := 0
+		runs, err := e.Do(context.Background(), func(done, all int) {
+			calls++
+			if done != calls || all != 30 {
+				t.Errorf("%d of %d at call %d", done, all, calls)
+			}
+		})
+		if err != nil || calls != 30 {
+			t.Fatal(calls, err)
+		}
+		var b bytes.Buffer
+		if err := e.CSV(&b, runs); err != nil {
+			t.Fatal(err)
+		}
+		if err := e.Table(&b, runs); err != nil {
+			t.Fatal(err)
+		}
+		if s := e.Summary(runs); len(s) != 4*len(Metrics) {
+			t.Error(s)
+		}
+		dir := filepath.Join(t.TempDir(), "out")
+		if err := e.Write(dir, runs); err != nil {
+			t.Fatal(err)
+		}
+		for _, f := range []string{"runs.csv", "table.md", "differences.svg", "setup-time.svg"} {
+			if b, err := os.ReadFile(filepath.Join(dir, f)); err != nil || len(b) < 200 {
+				t.Errorf("%s: %d bytes, %v", f, len(b), err)
+			}
+		}
+		return b.String()
+	}
+	a := text()
+	if diff := cmp.Diff(a, text()); diff != "" {
+		t.Error(diff)
+	}
+	if n := strings.Count(a, "\n"); n < 31+4*12 {
+		t.Errorf("%d lines", n)
+	}
+}
+
+func TestStops(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	if _, err := Default().Do(ctx, nil); err == nil {
+		t.Error("it went on")
+	}
+}
+
+func TestParseErrors(t *testing.T) {
+	for text, want := range map[string]string{
+		"":                             "f:1: key name: the file is empty",
+		"[1]":                          "f:1: key name: a mapping",
+		"a: 1":                         "f:1: key a: not known",
+		"seeds: 2\nseeds: 3":           "f:2: key seeds: stands twice",
+		"name: x\nseeds: 0":            "f:2: key seeds: \"0\" is not a whole number from 1",
+		"name: x\nseeds: many":         "f:2: key seeds",
+		"load: .nan":                   "f:1: key load",
+		"load: 1e300":                  "f:1: key load",
+		"sizes: 5":                     "f:1: key sizes: a list",
+		"sizes: [5,\n 5]":              "f:2: key sizes: 5 stands twice",
+		"sizes: [2]":                   "f:1: key sizes",
+		"policies: [module, best]":     "f:1: key policies: \"best\"",
+		"policies: [module, module]":   "f:1: key policies",
+		"name: a/b":                    "f:1: key name",
+		"seeds: 3\n---\nseeds: 4":      "f:2: key name: one document",
+		"blocking: 1":                  "f:1: key blocking",
+		"first_seed: -1":               "f:1: key first_seed",
+		"length_s: {a: 1}":             "f:1: key length_s",
+		"name: [":                      "f: yaml",
+		"troubles: 9":                  "f:1: key troubles",
+		strings.Repeat("#", maxFile+1): "f:1: key experiment",
+	} {
+		if _, err := Parse("f", []byte(text)); err == nil || !strings.HasPrefix(err.Error(), want) {
+			t.Errorf("%.40q: %v, want %q", text, err, want)
+		}
+	}
+}
+
+// The interval holds the mean of a known law about as often as it says.
+func TestBootstrap(t *testing.T) {
+	mean, low, high := Bootstrap([]float64{1, 1, 1, 1}, 1000, 1)
+	if mean != 1 || low != 1 || high != 1 {
+		t.Error(mean, low, high)
+	}
+	v := make([]float64, 100)
+	for i := range v {
+		v[i] = float64(i % 2)
+	}
+	mean, low, high = Bootstrap(v, 10_000, 1)
+	if mean < 0.4999 || mean > 0.5001 || low < 0.38 || low > 0.42 || high < 0.58 || high > 0.62 { // 1.96 * 0.05 each way
+		t.Error(mean, low, high)
+	}
+}
+
+func FuzzParse(f *testing.F) {
+	f.Add([]byte("name: short\nsizes: [4, 5]\nseeds: 3\npolicies: [weights, module]\n"))
+	f.Add([]byte("load: &a 1\nlength_s: *a\n"))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		e, err := Parse("f", b)
+		if err == nil && (len(e.Sizes) == 0 || len(e.Policies) == 0 || e.Seeds < 1 || !(e.Load > 0) || !(e.LengthS >= 1)) {
+			t.Errorf("%+v", e)
+		}
+	})
+}
