Command line with plan, lab and inventory; the inventory holds groups, classes and demand

Need: plans must be solved, checked, explained and tried by operators, from an inventory that says what a plan needs. cmd/violetspan is on kong (no arguments: as before; -service still works).

--- /dev/null
+++ b/cmd/violetspan/inventory.go
@@ -0,0 +1,33 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"os"
+
+	"violetspan.example/violetspan/internal/inventory"
+)
+
+type inventoryCmd struct {
+	Check inventoryCheckCmd `cmd:"" help:"Print every fault of an inventory."`
+}
+
+type inventoryCheckCmd struct {
+	Files []string `arg:"" help:"Files that are one inventory, in CSV or YAML." type:"path"`
+}
+
+func (c *inventoryCheckCmd) Run() error {
+	inv, err := inventory.Load(c.Files...)
+	var all inventory.Faults
+	if errors.As(err, &all) {
+		for _, f := range all {
+			fmt.Fprintln(os.Stderr, f)
+		}
+		return fmt.Errorf("%w: %d faults", errConfig, len(all))
+	} else if err != nil {
+		return fmt.Errorf("%w: %w", errConfig, err)
+	}
+	p := &inv.Plan
+	fmt.Printf("%d switches, %d tenants, %d groups, %d classes, %d demands: no fault\n", len(inv.Switches), len(inv.Tenants), len(p.Groups), len(p.Classes), len(p.Demands))
+	return nil
+}
--- /dev/null
+++ b/cmd/violetspan/lab.go
@@ -0,0 +1,54 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"strings"
+	"syscall"
+
+	"github.com/schollz/progressbar/v3"
+
+	"violetspan.example/violetspan/internal/lab"
+)
+
+type labCmd struct {
+	Run labRunCmd `cmd:"" help:"Play an experiment's file and write its results."`
+}
+
+type labRunCmd struct {
+	File string `arg:"" help:"The experiment, in YAML." type:"path"`
+	Out  string `short:"o" help:"Folder of the results; by default the file's name without its ending." type:"path" placeholder:"DIR"`
+}
+
+func (c *labRunCmd) Run() error {
+	e, err := lab.Load(c.File)
+	if err != nil {
+		return fmt.Errorf("%w: %w", errConfig, err)
+	}
+	if c.Out == "" {
+		c.Out = strings.TrimSuffix(c.File, filepath.Ext(c.File))
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	bar := progressbar.NewOptions(len(e.Sizes)*e.Seeds*len(e.Policies), progressbar.OptionSetWriter(os.Stderr),
+		progressbar.OptionSetDescription(e.Name), progressbar.OptionShowCount(), progressbar.OptionClearOnFinish(),
+		progressbar.OptionSetVisibility(terminal(os.Stderr)))
+	runs, err := e.Do(ctx, func(done, all int) { _ = bar.Set(done) })
+	if err != nil {
+		return err
+	}
+	_ = bar.Finish()
+	for _, line := range e.Summary(runs) {
+		fmt.Println(line)
+	}
+	return e.Write(c.Out, runs)
+}
+
+// terminal says whether a person looks at a file.
+func terminal(f *os.File) bool {
+	s, err := f.Stat()
+	return err == nil && s.Mode()&os.ModeCharDevice != 0
+}
--- a/cmd/violetspan/main.go
+++ b/cmd/violetspan/main.go
@@ -1,24 +1,19 @@
 // Command violetspan is a signalling proxy: it takes calls, sets them up at the
 // switches that its decision module chooses, and gives each one final answer.
 //
-// On the platform it is started without flags and configured by the variables
-// ROUTER_CONFIG, ROUTER_NAME and ROUTER_LISTEN. With -service FILE it also
-// offers the hosted service, on its own if ROUTER_CONFIG is not set.
+// On the platform it is started without arguments and configured by the variables
+// ROUTER_CONFIG, ROUTER_NAME and ROUTER_LISTEN. With --service FILE it also offers
+// the hosted service, on its own if ROUTER_CONFIG is not set. Its other commands
+// work out plans, check inventories and run experiments; --help lists them.
 package main
 
 import (
-	"context"
-	"flag"
+	"errors"
 	"fmt"
-	"log/slog"
 	"os"
-	"os/signal"
-	"runtime/debug"
-	"syscall"
+	"strings"
 
-	"violetspan.example/violetspan/internal/config"
-	"violetspan.example/violetspan/internal/logs"
-	"violetspan.example/violetspan/internal/proxy"
+	"github.com/alecthomas/kong"
 )
 
 // Exit codes.
@@ -27,72 +22,45 @@
 	exitConfig = 2
 )
 
-// logLines is how many lines may wait for a slow reader of the log.
-const logLines = 2048
+type cli struct {
+	Run       runCmd       `cmd:"" default:"withargs" help:"Serve as a signalling proxy (without a command, this one)."`
+	Plan      planCmd      `cmd:"" help:"Work out routes and shares ahead of time."`
+	Lab       labCmd       `cmd:"" help:"Run experiments on an emulated mesh."`
+	Inventory inventoryCmd `cmd:"" help:"Look at inventory files."`
+}
+
+// errConfig marks errors of what the user wrote: exit code 2.
+var errConfig = errors.New("configuration")
 
 func main() {
-	service := flag.String("service", "", "file of the hosted service, such as deploy/service.json; empty: off")
-	verbose := flag.Bool("v", false, "log debug lines too")
-	flag.Parse()
-	level := slog.LevelInfo
-	if *verbose {
-		level = slog.LevelDebug
+	var c cli
+	k, err := kong.New(&c, kong.Name("violetspan"), kong.Description("A signalling proxy for a mesh of exchanges."), kong.UsageOnError(), kong.ExplicitGroups(nil))
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "violetspan:", err)
+		os.Exit(exitFailed)
 	}
-	out := logs.New(os.Stderr, logLines)
-	log := slog.New(slog.NewTextHandler(out, &slog.HandlerOptions{Level: level}))
-	p, err := configure(*service, log)
+	ctx, err := k.Parse(dashes(os.Args[1:]))
 	if err != nil {
-		fmt.Fprintln(os.Stderr, "violetspan: configuration:", err)
+		fmt.Fprintln(os.Stderr, "violetspan:", err)
 		os.Exit(exitConfig)
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-	defer stop()
-	err = p.Run(ctx, hups(ctx), nil)
-	out.Close()
-	if err != nil {
+	switch err := ctx.Run(); {
+	case errors.Is(err, errConfig):
+		fmt.Fprintln(os.Stderr, "violetspan:", err)
+		os.Exit(exitConfig)
+	case err != nil:
 		fmt.Fprintln(os.Stderr, "violetspan:", err)
 		os.Exit(exitFailed)
 	}
 }
 
-func configure(service string, log *slog.Logger) (*proxy.Proxy, error) {
-	var pf *config.Platform
-	var sv *config.Service
-	var err error
-	if service == "" || os.Getenv("ROUTER_CONFIG") != "" {
-		if pf, err = config.FromEnv(os.Getenv); err != nil {
-			return nil, err
-		}
-		log = log.With("proxy", pf.Name)
-		// Collect garbage harder well before the platform would kill for memory.
-		debug.SetMemoryLimit(pf.Bounds().Soft)
-	}
-	if service != "" {
-		if sv, err = config.LoadService(service, os.Getenv); err != nil {
-			return nil, err
+// dashes lets -service do what it did before there were commands.
+func dashes(args []string) []string {
+	out := make([]string, len(args))
+	for i, a := range args {
+		if out[i] = a; strings.HasPrefix(a, "-service") {
+			out[i] = "-" + a
 		}
 	}
-	p, err := proxy.New(pf, sv, log)
-	if err == nil && pf != nil {
-		p.Reread = func() (*config.Platform, error) { return config.FromEnv(os.Getenv) }
-	}
-	return p, err
-}
-
-// hups turns SIGHUP into requests to reload; those that come during one are one.
-func hups(ctx context.Context) <-chan struct{} {
-	sig := make(chan os.Signal, 1)
-	signal.Notify(sig, syscall.SIGHUP)
-	out := make(chan struct{})
-	go func() {
-		for {
-			select {
-			case <-sig:
-				out <- struct{}{}
-			case <-ctx.Done():
-				return
-			}
-		}
-	}()
 	return out
 }
--- a/decide/plan/plan.go
+++ b/decide/plan/plan.go
@@ -304,5 +304,5 @@
 	Roughness float64   // sum of squared use of groups and processors, weighted by size; see docs/plan.md
 	Steps     int       // of the solver, all objectives
 	Stages    int       // objectives that were carried out, of 3; the last holds evenness and canon
-	Rest      error     // why the further ones were not, if Stages is below 3
+	Rest      error     `json:"-"` // why the further ones were not, if Stages is below 3
 }
--- a/internal/inventory/inventory.go
+++ b/internal/inventory/inventory.go
@@ -1,10 +1,12 @@
-// Package inventory reads the inventory of a hosted service, its switches and
-// tenants, from CSV or YAML as configuration tools keep it. It is strict: what
-// it does not know is an error, which names file, line and key.
+// Package inventory reads the inventory of a hosted service, its switches, trunk
+// groups, classes, tenants and planned demand, from CSV or YAML as configuration
+// tools keep it. It is strict: what it does not know is an error, which names file,
+// line and key. docs/callapi.md and docs/plan.md list the keys.
 package inventory
 
 import (
 	"bytes"
+	"cmp"
 	"encoding/csv"
 	"errors"
 	"fmt"
@@ -20,6 +22,7 @@
 	"go.yaml.in/yaml/v3"
 
 	"violetspan.example/violetspan/brain"
+	"violetspan.example/violetspan/decide/plan"
 	"violetspan.example/violetspan/internal/core"
 	"violetspan.example/violetspan/internal/tenant"
 )
@@ -28,12 +31,41 @@
 type Inventory struct {
 	Switches []core.Member
 	Tenants  []tenant.Spec
+	// Plan is what a plan needs: yards, capacities, groups, classes, shares, demand.
+	// Its switches are all of Switches; those without a capacity bear nothing.
+	Plan plan.Problem
 }
 
+// Faults is every fault of a file, in the order of its lines.
+type Faults []error
+
+func (f Faults) Error() string {
+	if len(f) == 1 {
+		return f[0].Error()
+	}
+	return fmt.Sprintf("%v (and %d more)", f[0], len(f)-1)
+}
+
+// Unwrap returns them.
+func (f Faults) Unwrap() []error { return f }
+
 const maxFile = 8 << 20
 
-// Load reads a file; its name's ending says in which form it is.
-func Load(path string) (*Inventory, error) {
+// Load reads one or more files as one inventory; each name's ending says in which
+// form it is. Its error is Faults where the files could be opened.
+func Load(paths ...string) (*Inventory, error) {
+	r := newReader()
+	for _, path := range paths {
+		b, err := read(path)
+		if err != nil {
+			return nil, err
+		}
+		r.parse(path, b)
+	}
+	return r.done()
+}
+
+func read(path string) ([]byte, error) {
 	f, err := os.Open(path)
 	if err != nil {
 		return nil, fmt.Errorf("inventory: %w", err)
@@ -43,15 +75,28 @@
 	if err != nil {
 		return nil, fmt.Errorf("inventory: %w", err)
 	}
-	if len(b) > maxFile {
-		return nil, fmt.Errorf("%s: longer than %d bytes", path, maxFile)
-	}
-	return Parse(path, b)
+	return b, nil
 }
 
-// Parse reads the text of a file of the given name.
+// Parse reads the text of a file of the given name. Its error is Faults.
 func Parse(name string, b []byte) (*Inventory, error) {
-	r := &reader{file: name, ids: map[string]int{}, numbers: map[int]string{}, tokens: map[string]string{}}
+	r := newReader()
+	r.parse(name, b)
+	return r.done()
+}
+
+func newReader() *reader {
+	return &reader{ids: map[string]place{}, numbers: map[int]string{}, tokens: map[string]string{},
+		pairs: map[[2]string]*pairing{}, demands: map[[4]string]place{}}
+}
+
+func (r *reader) parse(name string, b []byte) {
+	r.file = name
+	r.files = append(r.files, name)
+	if len(b) > maxFile {
+		r.note(1, "file", fmt.Sprintf("longer than %d bytes", maxFile))
+		return
+	}
 	var err error
 	switch filepath.Ext(name) {
 	case ".csv":
@@ -62,18 +107,78 @@
 		err = fmt.Errorf("%s: a name that ends in .csv, .yaml or .yml is wanted", name)
 	}
 	if err != nil {
-		return nil, err
+		r.fault(0, err)
+		r.broken = true
+	}
+}
+
+func (r *reader) done() (*Inventory, error) {
+	if !r.broken { // else what is missing may stand in the part that was not read
+		r.join()
+	}
+	if len(r.faults) == 0 {
+		return &r.inv, nil
+	}
+	slices.SortStableFunc(r.faults, func(a, b fault) int {
+		return cmp.Or(slices.Index(r.files, a.file)-slices.Index(r.files, b.file), a.line-b.line)
+	})
+	var all Faults
+	for _, f := range r.faults {
+		all = append(all, f.err)
+	}
+	return nil, all
+}
+
+// place is a line of a file.
+type place struct {
+	file string
+	line int
+}
+
+// on says where another entry stands, seen from a file.
+func (p place) on(file string) string {
+	if p.file == file {
+		return fmt.Sprintf("on line %d", p.line)
+	}
+	return fmt.Sprintf("on line %d of %s", p.line, p.file)
+}
+
+type fault struct {
+	place
+	err error
+}
+
+// maxFaults bounds what one file brings.
+const maxFaults = 1000
+
+func (r *reader) fault(line int, err error) {
+	if len(r.faults) < maxFaults {
+		r.faults = append(r.faults, fault{place{r.file, line}, err})
 	}
-	return &r.inv, nil
 }
 
+// note keeps a fault and goes on with the rest of the file.
+func (r *reader) note(line int, key, why string) { r.fault(line, r.bad(line, key, why)) }
+
 // reader builds an inventory from entries, whatever form they come in.
 type reader struct {
 	file    string
 	inv     Inventory
-	ids     map[string]int    // line of each kind and id
+	files   []string
+	broken  bool              // a file could not be read to its end
+	ids     map[string]place  // of each kind and id
 	numbers map[int]string    // switch that is up, by its exchange
 	tokens  map[string]string // tenant of each token
+	pairs   map[[2]string]*pairing
+	demands map[[4]string]place
+	refs    []ref
+	faults  []fault
+}
+
+// ref is a name that must be another entry's, wherever that stands.
+type ref struct {
+	kind, id, key string
+	place
 }
 
 func (r *reader) bad(line int, key, why string) error {
@@ -97,36 +202,64 @@
 const (
 	kindSwitch = "switch"
 	kindTenant = "tenant"
+	kindGroup  = "group"
+	kindClass  = "class"
+	kindDemand = "demand"
 )
 
 var keys = map[string][]string{
-	kindSwitch: {"address", "exchange", "status"},
-	kindTenant: {"status", "token_sha256", "max_calls", "calls_per_second", "max_sockets"},
+	kindSwitch: {"address", "exchange", "status", "yard", "set_ups_per_second"},
+	kindTenant: {"status", "token_sha256", "max_calls", "calls_per_second", "max_sockets", "share"},
+	kindGroup:  {"a", "b", "at", "toward", "circuits", "cost"},
+	kindClass:  {"width", "hold_s", "worth"},
+	kindDemand: {"class", "from", "to", "tenant", "calls_per_second", "must_per_second"},
 }
 
 var states = map[string]brain.State{"": brain.Ready, "up": brain.Ready, "draining": brain.Draining}
 
-func (r *reader) add(e entry) error {
+func (r *reader) add(e entry) {
 	known, ok := keys[e.kind]
 	if !ok {
-		return r.bad(e.line, "kind", fmt.Sprintf("%q is neither switch nor tenant", e.kind))
+		r.note(e.line, "kind", fmt.Sprintf("%q is none of switch, tenant, group, class and demand", e.kind))
+		return
 	}
 	for key, v := range e.vals {
 		if !slices.Contains(known, key) {
-			return r.bad(v.line, key, "not known for a "+e.kind)
+			r.note(v.line, key, "not known for a "+e.kind)
 		}
 	}
 	if e.id == "" {
-		return r.bad(e.line, "name", "missing")
+		r.note(e.line, "name", "missing")
+		return
 	}
 	if was, twice := r.ids[e.kind+" "+e.id]; twice {
-		return r.bad(e.line, "name", fmt.Sprintf("%s %q stands on line %d already", e.kind, e.id, was))
-	}
-	r.ids[e.kind+" "+e.id] = e.line
-	if e.kind == kindSwitch {
-		return r.addSwitch(e)
+		r.note(e.line, "name", fmt.Sprintf("%s %q stands %s already", e.kind, e.id, was.on(r.file)))
+		return
+	}
+	r.ids[e.kind+" "+e.id] = place{r.file, e.line}
+	switch e.kind {
+	case kindSwitch:
+		if err := r.addSwitch(e); err != nil {
+			r.fault(e.line, err)
+		}
+	case kindTenant:
+		if err := r.addTenant(e); err != nil {
+			r.fault(e.line, err)
+		}
+	case kindGroup:
+		r.addGroup(e)
+	case kindClass:
+		r.addClass(e)
+	default:
+		r.addDemand(e)
 	}
-	return r.addTenant(e)
+}
+
+// sortGroups gives them an order that the map they come from lacks.
+func (r *reader) sortGroups() {
+	slices.SortFunc(r.inv.Plan.Groups, func(a, b plan.Group) int {
+		return cmp.Or(strings.Compare(a.A, b.A), strings.Compare(a.B, b.B))
+	})
 }
 
 // at returns a key's text, and its line or the entry's if it is left out.
@@ -163,6 +296,12 @@
 	if m.State == brain.Ready {
 		r.numbers[n] = e.id
 	}
+	yard, _ := e.at("yard")
+	sw := plan.Switch{ID: e.id, Yard: yard, SetUps: r.number(e, "set_ups_per_second", 0)}
+	if m.State == brain.Draining {
+		sw.Phase = plan.Draining
+	}
+	r.inv.Plan.Switches = append(r.inv.Plan.Switches, sw)
 	r.inv.Switches = append(r.inv.Switches, m)
 	return nil
 }
@@ -228,6 +367,12 @@
 		return r.bad(line, "token_sha256", fmt.Sprintf("tenant %q has it already", other))
 	}
 	r.tokens[s.TokenSHA256] = e.id
+	share := plan.Tenant{ID: e.id, Share: r.number(e, "share", 0)}
+	if share.Share > 1 {
+		_, line := e.at("share")
+		r.note(line, "share", "more than 1")
+	}
+	r.inv.Plan.Tenants = append(r.inv.Plan.Tenants, share)
 	r.inv.Tenants = append(r.inv.Tenants, s)
 	return nil
 }
@@ -246,7 +391,11 @@
 		}
 		var perr *csv.ParseError
 		if errors.As(err, &perr) {
-			return r.bad(perr.Line, "row", perr.Err.Error())
+			r.note(perr.Line, "row", perr.Err.Error())
+			if errors.Is(perr.Err, csv.ErrFieldCount) {
+				continue // the others can be read
+			}
+			return nil
 		} else if err != nil {
 			return fmt.Errorf("%s: %w", r.file, err)
 		}
@@ -271,9 +420,7 @@
 				e.vals[key] = value{cell, l}
 			}
 		}
-		if err := r.add(e); err != nil {
-			return err
-		}
+		r.add(e)
 	}
 	if header == nil {
 		return r.bad(1, "kind", "the header line is missing")
@@ -284,7 +431,10 @@
 func (r *reader) header(line int, header []string) error {
 	seen := map[string]bool{}
 	for _, key := range header {
-		known := key == "kind" || key == "name" || slices.Contains(keys[kindSwitch], key) || slices.Contains(keys[kindTenant], key)
+		known := key == "kind" || key == "name"
+		for _, ks := range keys {
+			known = known || slices.Contains(ks, key)
+		}
 		if !known || seen[key] {
 			return r.bad(line, key, "not a known column, or one that stands twice")
 		}
@@ -299,7 +449,7 @@
 }
 
 // The groups of a YAML inventory, and the kind that each holds.
-var groups = map[string]string{"switches": kindSwitch, "tenants": kindTenant}
+var groups = map[string]string{"switches": kindSwitch, "tenants": kindTenant, "groups": kindGroup, "classes": kindClass, "demands": kindDemand}
 
 // yaml reads the form that Ansible's YAML inventories have: all, children,
 // groups, hosts and their variables; a group's vars are defaults for its hosts.
@@ -322,10 +472,11 @@
 	if err != nil {
 		return err
 	}
-	return r.each(children, "children", func(group string, g *yaml.Node) error {
+	return r.each(children, "children", func(group string, line int, g *yaml.Node) error {
 		kind, ok := groups[group]
 		if !ok {
-			return r.bad(g.Line, group, "neither switches nor tenants")
+			r.note(line, group, "none of switches, tenants, groups, classes and demands")
+			return nil
 		}
 		return r.group(kind, group, g)
 	})
@@ -335,26 +486,28 @@
 func (r *reader) group(kind, group string, g *yaml.Node) error {
 	defaults := map[string]value{}
 	var hosts *yaml.Node
-	err := r.each(g, group, func(key string, n *yaml.Node) (err error) {
+	err := r.each(g, group, func(key string, line int, n *yaml.Node) (err error) {
 		switch key {
 		case "vars":
 			defaults, err = r.vars(n, "vars", nil)
 		case "hosts":
 			hosts = n
 		default:
-			err = r.bad(n.Line, key, "neither hosts nor vars")
+			err = r.bad(line, key, "neither hosts nor vars")
 		}
 		return err
 	})
 	if err != nil {
 		return err
 	}
-	return r.each(hosts, "hosts", func(id string, n *yaml.Node) error {
+	return r.each(hosts, "hosts", func(id string, line int, n *yaml.Node) error {
 		vals, err := r.vars(n, id, defaults)
 		if err != nil {
-			return err
+			r.fault(line, err)
+			return nil
 		}
-		return r.add(entry{kind: kind, id: id, line: n.Line, vals: vals})
+		r.add(entry{kind: kind, id: id, line: line, vals: vals})
+		return nil
 	})
 }
 
@@ -363,11 +516,11 @@
 	for key, v := range defaults {
 		vals[key] = v
 	}
-	err := r.each(n, name, func(key string, v *yaml.Node) error {
+	err := r.each(n, name, func(key string, line int, v *yaml.Node) error {
 		if v.Kind != yaml.ScalarNode {
-			return r.bad(v.Line, key, "one value is wanted")
+			return r.bad(line, key, "one value is wanted")
 		}
-		vals[key] = value{v.Value, v.Line}
+		vals[key] = value{v.Value, line}
 		return nil
 	})
 	return vals, err
@@ -375,9 +528,9 @@
 
 // only returns the one key that a mapping may have.
 func (r *reader) only(n *yaml.Node, name, want string) (found *yaml.Node, err error) {
-	err = r.each(n, name, func(key string, v *yaml.Node) error {
+	err = r.each(n, name, func(key string, line int, v *yaml.Node) error {
 		if key != want {
-			return r.bad(v.Line, key, "not known here; "+want+" is")
+			return r.bad(line, key, "not known here; "+want+" is")
 		}
 		found = v
 		return nil
@@ -389,7 +542,7 @@
 }
 
 // each walks a mapping; an empty node is an empty one.
-func (r *reader) each(n *yaml.Node, name string, do func(key string, v *yaml.Node) error) error {
+func (r *reader) each(n *yaml.Node, name string, do func(key string, line int, v *yaml.Node) error) error {
 	if n == nil || n.Kind == yaml.ScalarNode && n.Tag == "!!null" {
 		return nil
 	}
@@ -406,7 +559,7 @@
 		if v.Kind == yaml.AliasNode {
 			v = v.Alias
 		}
-		if err := do(key.Value, v); err != nil {
+		if err := do(key.Value, key.Line, v); err != nil {
 			return err
 		}
 	}
--- a/internal/inventory/inventory_test.go
+++ b/internal/inventory/inventory_test.go
@@ -7,6 +7,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"violetspan.example/violetspan/brain"
+	"violetspan.example/violetspan/decide/plan"
 	"violetspan.example/violetspan/internal/core"
 	"violetspan.example/violetspan/internal/tenant"
 )
@@ -46,7 +47,8 @@
 		Switches: []core.Member{{ID: "lot-a", Addr: "127.0.0.1:5070"},
 			{ID: "lot-b", Addr: "ws://127.0.0.1:9102/x", Number: 1, State: brain.Draining}},
 		Tenants: []tenant.Spec{{ID: "acme", TokenSHA256: hash, MaxCalls: 5, CallsPerSecond: 2.5},
-			{ID: "other", TokenSHA256: hash2, Disabled: true}}}
+			{ID: "other", TokenSHA256: hash2, Disabled: true}},
+		Plan: plan.Problem{Switches: []plan.Switch{{ID: "lot-a"}, {ID: "lot-b", Phase: plan.Draining}}, Tenants: []plan.Tenant{{ID: "acme"}, {ID: "other"}}}}
 	for name, text := range map[string]string{"a.yaml": yamlText, "a.yml": yamlText, "a.csv": csvText, "b.csv": "\ufeff" + csvText} {
 		got, err := Parse(name, []byte(fill(text)))
 		if diff := cmp.Diff(want, got); err != nil || diff != "" {
@@ -65,7 +67,7 @@
 		{"a.yaml", yamlText, "status: draining", "status: tired", "a.yaml:10: key status:"},
 		{"a.yaml", yamlText, "ws://127.0.0.1:9102/x", "http://127.0.0.1:9102/x", "a.yaml:8: key address:"},
 		{"a.yaml", yamlText, "ws://127.0.0.1:9102/x", "[a, b]", "a.yaml:8: key address: one value"},
-		{"a.yaml", yamlText, "    tenants:", "    renters:", "a.yaml:12: key renters:"},
+		{"a.yaml", yamlText, "    tenants:", "    renters:", "a.yaml:11: key renters:"},
 		{"a.yaml", yamlText, "        lot-b:", "        lot-a:", "a.yaml:7: key lot-a:"},
 		{"a.yaml", yamlText, "max_calls: 5", "max_calls: -5", "a.yaml:13: key max_calls:"},
 		{"a.yaml", yamlText, "max_calls: 5", "max_call: 5", "a.yaml:13: key max_call: not known"},
