Keep plans in force in a running proxy: measured demand, hysteresis, operator's file

Need: a plan must follow the traffic without flapping, and never be taken on trust. decide/replan (no I/O) measures demand and decides when to solve, publish, renew and withdraw; internal/planner reads the operator's file, solves beside the calls under a deadline, and tells the module the own exchange's part. Off unless the service file has a plan.

--- a/decide/replan/demand.go
+++ b/decide/replan/demand.go
@@ -41,28 +41,28 @@
 }
 
 // NewDemand returns a measure with the given memory that keeps at most so many
-// flows. Where there are more, the least one makes room if the new flow's first call
-// would lift it above that one.
+// flows. Where there are more, the least one makes room if the new flow's calls
+// lift it above that one.
 func NewDemand(memory time.Duration, most int) *Demand {
 	return &Demand{memory: memory, most: most, flows: map[Flow]*aged{}}
 }
 
-// Count takes in one first try.
-func (d *Demand) Count(now time.Duration, f Flow) {
+// Count takes in n calls.
+func (d *Demand) Count(now time.Duration, f Flow, n int) {
 	if !d.started {
 		d.began, d.started = now, true
 	}
-	one := 1 / d.memory.Seconds()
+	some := float64(n) / d.memory.Seconds()
 	a := d.flows[f]
 	if a == nil {
-		if len(d.flows) >= d.most && !d.makeRoom(now, one) {
-			d.Dropped++
+		if len(d.flows) >= d.most && !d.makeRoom(now, some) {
+			d.Dropped += n
 			return
 		}
 		a = &aged{last: now}
 		d.flows[f] = a
 	}
-	a.v = a.at(now, d.memory) + one
+	a.v = a.at(now, d.memory) + some
 	a.last = max(now, a.last)
 }
 
--- a/decide/replan/replan.go
+++ b/decide/replan/replan.go
@@ -9,6 +9,10 @@
 	"violetspan.example/violetspan/decide/plan"
 )
 
+// ErrOther says that a plan was made for switches, groups, classes or tenants that
+// are not the inventory's.
+var ErrOther = errors.New("the plan is for another inventory")
+
 // Settings of a Planner. The zero value of a field means its default.
 type Settings struct {
 	Here     string        // the own exchange's switch
@@ -116,8 +120,8 @@
 	return &Planner{set: s, version: version, demand: NewDemand(s.Memory, s.MostSeen)}
 }
 
-// Count takes in one first try of the own exchange's callers.
-func (p *Planner) Count(now time.Duration, f Flow) { p.demand.Count(now, f) }
+// Count takes in n calls of the own exchange's callers.
+func (p *Planner) Count(now time.Duration, f Flow, n int) { p.demand.Count(now, f, n) }
 
 // Inventory takes a new inventory. A plan in force that is not for it ends: a switch,
 // group or class of it may be gone. An answer on its way is for the old one and will
@@ -138,10 +142,16 @@
 }
 
 // Take brings a plan from outside into force, such as an operator's file. It must be
-// for the present inventory and pass the verifier, or nothing changes.
+// for the present inventory, whatever costs and blocking it was made with, and pass
+// the verifier, or nothing changes.
 func (p *Planner) Take(now time.Duration, problem *plan.Problem, a *plan.Answer, gap float64, valid time.Duration) ([]Action, error) {
-	if p.base == nil || !SameMesh(p.base, problem) {
-		return nil, errors.New("the plan is for another inventory")
+	if p.base == nil {
+		return nil, ErrOther
+	}
+	base := *p.base
+	base.Target, base.Costs = problem.Target, problem.Costs
+	if !SameMesh(&base, problem) {
+		return nil, ErrOther
 	}
 	if _, err := plan.Verify(problem, a, gap); err != nil {
 		return nil, fmt.Errorf("the plan fails its verification: %w", err)
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -20,6 +20,9 @@
 	jsoniter "github.com/json-iterator/go"
 
 	"violetspan.example/violetspan/brain"
+	"violetspan.example/violetspan/decide/plan"
+	"violetspan.example/violetspan/decide/replan"
+	"violetspan.example/violetspan/internal/planner"
 	"violetspan.example/violetspan/internal/tenant"
 )
 
@@ -181,8 +184,9 @@
 	AdminTokenHash string
 	TLSCert        string // paths of the certificate and its key; empty: no TLS
 	TLSKey         string
-	Inventory      string    // path of the inventory
-	Settings       *Settings // nil: the platform's are used
+	Inventory      string            // path of the inventory
+	Settings       *Settings         // nil: the platform's are used
+	Plan           *planner.Settings // nil: off
 }
 
 // LoadService reads a service file. Paths in it are relative to its own place.
@@ -195,7 +199,11 @@
 	if err != nil {
 		return nil, fmt.Errorf("%s: %w", path, err)
 	}
-	for _, file := range []*string{&s.Inventory, &s.TLSCert, &s.TLSKey} {
+	files := []*string{&s.Inventory, &s.TLSCert, &s.TLSKey}
+	if s.Plan != nil {
+		files = append(files, &s.Plan.File)
+	}
+	for _, file := range files {
 		if *file != "" && !filepath.IsAbs(*file) {
 			*file = filepath.Join(filepath.Dir(path), *file)
 		}
@@ -222,7 +230,8 @@
 	if err != nil {
 		return nil, err
 	}
-	r.only("", "callapi", "admin", "tls", "inventory", "settings")
+	r.only("", "callapi", "admin", "tls", "inventory", "settings", "plan")
+	r.only("plan", "file", "measure", "deadline_s", "gap", "blocking", "tandem_cost", "yard_cost", "every_s", "valid_s", "margin", "confirm", "cool_s", "memory_s", "max_flows")
 	r.only("callapi", "listen", "keep_answers_s", "max_kept_calls", "max_connections")
 	r.only("admin", "listen", "token_env")
 	r.only("tls", "cert", "key")
@@ -249,9 +258,34 @@
 		set := r.settings("settings.")
 		s.Settings = &set
 	}
+	if !missing(r.at("plan")) {
+		s.Plan = r.plan()
+	}
 	return s, r.err
 }
 
+// plan reads how plans are kept in force; all keys have defaults, but a file or
+// measuring is wanted.
+func (r *reader) plan() *planner.Settings {
+	sec := func(key string, def, least, most float64) time.Duration {
+		return time.Duration(r.num("plan."+key, def, least, most) * float64(time.Second))
+	}
+	p := &planner.Settings{
+		File: r.text("plan.file", ""), Measure: r.yes("plan.measure"),
+		Deadline: sec("deadline_s", 20, 0.1, 600),
+		Gap:      r.num("plan.gap", 1e-3, 1e-6, 0.1),
+		Blocking: r.num("plan.blocking", 0.2, 0.001, 0.9),
+		Costs:    plan.Costs{Tandem: r.num("plan.tandem_cost", 0.02, 0, 1e6), Yard: r.num("plan.yard_cost", 0.01, 0, 1e6)},
+		Replan: replan.Settings{Every: sec("every_s", 60, 1, 86400), Valid: sec("valid_s", 600, 5, 86400),
+			Margin: r.num("plan.margin", 0.01, 1e-6, 10), Confirm: r.whole("plan.confirm", 2, 1, 100),
+			Cool: sec("cool_s", 120, 1, 86400), Memory: sec("memory_s", 120, 1, 86400), MostSeen: r.whole("plan.max_flows", 4096, 1, 1<<20)},
+	}
+	if p.File == "" && !p.Measure {
+		r.fail("plan.file", "missing, and plan.measure is not true: there would be no plan")
+	}
+	return p
+}
+
 const minToken = 16
 
 // only fails on keys of an object that are not known.
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -111,6 +111,9 @@
 	// through this proxy before its restart, and its caller must hear of it.
 	Orphan   func(id uint64, cut bool)
 	MaxCalls int
+	// Seen, if set, is told of each call that is taken from a caller of this exchange.
+	// It must not block.
+	Seen func(s *SetUp)
 }
 
 // Times that are the core's own.
@@ -368,6 +371,16 @@
 	return ms
 }
 
+// Plan tells the module of weights worked out ahead, valid until a time.
+func (c *Core) Plan(e brain.Planned, until time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.closed {
+		e.Until = c.clock(until)
+		c.tellLocked(e)
+	}
+}
+
 // Stop lets no new call in.
 func (c *Core) Stop() {
 	c.mu.Lock()
@@ -392,6 +405,9 @@
 	c.calls[s.ID], c.names[k.name] = k, k
 	delete(c.ended, s.ID)
 	c.owed++
+	if c.opt.Seen != nil && !s.Transit && !s.Again {
+		c.opt.Seen(s)
+	}
 	c.group.Go(func() error {
 		c.serve(k)
 		return nil
--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -122,3 +122,19 @@
 		}
 	})
 }
+
+// The emulator ranks three deciders as the simulator does: the module, then never
+// going round, then plain even sharing.
+func TestOrderOfPolicies(t *testing.T) {
+	e := Default()
+	e.Seeds, e.LengthS, e.Policies = 4, 30, []string{PolicyModule, PolicyDirect, PolicyEven}
+	runs, err := e.Do(context.Background(), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, pair := range [][2]string{{PolicyModule, PolicyDirect}, {PolicyDirect, PolicyEven}} {
+		if d := Compare(runs, pair[0], pair[1])[0]; d.Low <= 0 {
+			t.Errorf("%s against %s: %+v", pair[0], pair[1], d)
+		}
+	}
+}
--- a/internal/planner/file.go
+++ b/internal/planner/file.go
@@ -127,11 +127,7 @@
 	b := *base
 	b.Target, b.Costs = f.Problem.Target, f.Problem.Costs // of the plan, not of the inventory
 	if !replan.SameMesh(&b, f.Problem) {
-		return ErrOther
+		return replan.ErrOther
 	}
 	return nil
 }
-
-// ErrOther says that a plan was made for switches, groups, classes or tenants that
-// are not the inventory's.
-var ErrOther = errors.New("the plan is for another inventory")
--- a/internal/planner/file_test.go
+++ b/internal/planner/file_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"violetspan.example/violetspan/decide/plan"
+	"violetspan.example/violetspan/decide/replan"
 )
 
 // three is a small mesh whose group a-c is too small for its calls.
@@ -16,7 +17,7 @@
 		Classes:  []plan.Class{{ID: "narrow", Width: 1, Hold: 10, Worth: 1}},
 		Switches: []plan.Switch{{ID: "a", SetUps: 50}, {ID: "b", SetUps: 50}, {ID: "c", SetUps: 50}},
 		Groups:   []plan.Group{{A: "a", B: "b", Circuits: 40}, {A: "a", B: "c", Circuits: 20}, {A: "b", B: "c", Circuits: 40}},
-		Demands: []plan.Demand{{Class: "narrow", From: "a", To: "c", Rate: 3}, {Class: "narrow", From: "a", To: "b", Rate: 1},
+		Demands: []plan.Demand{{Class: "narrow", From: "a", To: "c", Rate: 6}, {Class: "narrow", From: "a", To: "b", Rate: 1},
 			{Class: "narrow", From: "c", To: "b", Rate: 1}}}
 }
 
@@ -44,7 +45,7 @@
 	}
 	other := three()
 	other.Groups[0].Circuits++
-	if got.For(other) != ErrOther {
+	if got.For(other) != replan.ErrOther {
 		t.Error("a plan for another inventory")
 	}
 	b, err := os.ReadFile(path)
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -17,11 +17,13 @@
 	"golang.org/x/net/netutil"
 	"golang.org/x/sync/errgroup"
 
+	"violetspan.example/violetspan/brain"
 	"violetspan.example/violetspan/internal/admin"
 	"violetspan.example/violetspan/internal/callapi"
 	"violetspan.example/violetspan/internal/config"
 	"violetspan.example/violetspan/internal/core"
 	"violetspan.example/violetspan/internal/inventory"
+	"violetspan.example/violetspan/internal/planner"
 	"violetspan.example/violetspan/internal/platform"
 	"violetspan.example/violetspan/internal/tenant"
 	"violetspan.example/violetspan/internal/trunk"
@@ -76,6 +78,7 @@
 	channel *platform.Channel
 	api     *callapi.Front
 	tenants *tenant.Registry
+	planner *planner.Loop // nil: off
 	reload  sync.Mutex
 	cert    atomic.Pointer[tls.Certificate] // of the hosted service; nil: no TLS
 	// Where it listens, for those who let the system choose the ports.
@@ -179,6 +182,13 @@
 		}
 	}()
 	set, opt := p.settings(life)
+	if p.service != nil && p.service.Plan != nil {
+		ps := *p.service.Plan
+		ps.Here = set.Brain.Here
+		p.planner = planner.New(ps, p.log, func(e brain.Planned, until time.Time) { p.core.Plan(e, until) })
+		opt.Seen = func(s *core.SetUp) { p.planner.Count(s.ClassName, s.Dest) }
+		g.Go(func() error { return p.planner.Run(life) })
+	}
 	if p.core, err = core.New(life, opt); err != nil {
 		return stop, err
 	}
@@ -364,6 +374,17 @@
 	}
 	p.cert.Store(cert)
 	p.core.List(core.List{Source: "inventory", Full: true, Members: inv.Switches, Gentle: true})
+	if p.planner != nil {
+		ids := map[int]string{}
+		for _, m := range inv.Switches {
+			if _, twice := ids[m.Number]; !twice || m.State == brain.Ready {
+				ids[m.Number] = m.ID
+			}
+		}
+		if err := p.planner.Inventory(&inv.Plan, ids); err != nil {
+			p.log.Error("plan not taken", "file", p.service.Plan.File, "error", err)
+		}
+	}
 	p.log.Info("inventory loaded", "switches", len(inv.Switches), "tenants", len(inv.Tenants))
 	return nil
 }
