--- /dev/null
+++ b/arch_test.go
@@ -0,0 +1,95 @@
+package violetspan_test
+
+import (
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"io/fs"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+const module = "violetspan.example/violetspan/"
+
+// Which package may import what. Paths are prefixes; the first rule that fits a
+// folder holds.
+var layers = []struct {
+	folder string
+	ours   []string // of this module
+	no     []string // of all others
+	pure   bool     // no goroutine, no clock of its own
+}{
+	{"brain", nil, []string{"net", "os", "log", "sync", "github.com", "golang.org", "gonum.org", "go.yaml.in"}, true},
+	{"decide", []string{"brain", "decide"}, []string{"net", "os", "log", "sync", "go.yaml.in", "golang.org"}, true},
+	{"internal/mesh", []string{"brain", "decide"}, []string{"net", "os"}, true},
+	{"internal/lab", []string{"brain", "decide", "internal/mesh"}, []string{"net"}, false},
+	{"internal/core", []string{"brain", "decide"}, []string{"net"}, false},
+	{"internal/planner", []string{"brain", "decide"}, []string{"net"}, false},
+	{"internal/platform", []string{"brain", "decide", "internal/core", "internal/sig", "internal/trunk", "internal/config"}, nil, false},
+	{"internal/callapi", []string{"brain", "decide", "internal/core", "internal/trunk", "internal/tenant"}, nil, false},
+	{"internal", []string{"brain", "decide", "internal"}, nil, false},
+	{"cmd", []string{"brain", "decide", "internal"}, nil, false},
+	{"example", nil, nil, false},
+}
+
+// Arrows run down only: cmd over internal/proxy over the fronts over the core over
+// decide and brain, and what decides does no I/O.
+func TestLayers(t *testing.T) {
+	files := 0
+	err := filepath.WalkDir(".", func(path string, d fs.DirEntry, err error) error {
+		if err != nil || d.IsDir() || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
+			return err
+		}
+		files++
+		f, err := parser.ParseFile(token.NewFileSet(), path, nil, 0)
+		if err != nil {
+			return err
+		}
+		for _, l := range layers {
+			if !under(path, l.folder) {
+				continue
+			}
+			for _, i := range f.Imports {
+				p := strings.Trim(i.Path.Value, `"`)
+				if own, ok := strings.CutPrefix(p, module); ok {
+					if !oneOf(own, l.ours) {
+						t.Errorf("%s imports %s", path, own)
+					}
+				} else if oneOf(p, l.no) {
+					t.Errorf("%s imports %s", path, p)
+				}
+			}
+			if l.pure {
+				ast.Inspect(f, func(n ast.Node) bool {
+					if _, ok := n.(*ast.GoStmt); ok {
+						t.Errorf("%s starts a goroutine", path)
+					}
+					if s, ok := n.(*ast.SelectorExpr); ok && (s.Sel.Name == "Now" || s.Sel.Name == "Sleep" || s.Sel.Name == "Since") {
+						if x, ok := s.X.(*ast.Ident); ok && x.Name == "time" {
+							t.Errorf("%s asks the clock", path)
+						}
+					}
+					return true
+				})
+			}
+			return nil
+		}
+		t.Errorf("%s: no rule for its folder", path)
+		return nil
+	})
+	if err != nil || files < 40 {
+		t.Error(files, err)
+	}
+}
+
+func under(path, folder string) bool { return path == folder || strings.HasPrefix(path, folder+"/") }
+
+func oneOf(path string, folders []string) bool {
+	for _, f := range folders {
+		if under(path, f) {
+			return true
+		}
+	}
+	return false
+}
--- a/cmd/violetspan/lab.go
+++ b/cmd/violetspan/lab.go
@@ -8,6 +8,7 @@
 	"path/filepath"
 	"strings"
 	"syscall"
+	"time"
 
 	"github.com/schollz/progressbar/v3"
 
@@ -15,7 +16,27 @@
 )
 
 type labCmd struct {
-	Run labRunCmd `cmd:"" help:"Play an experiment's file and write its results."`
+	Run  labRunCmd  `cmd:"" help:"Play an experiment's file and write its results."`
+	Cost labCostCmd `cmd:"" help:"Measure how long plans take to solve by size."`
+}
+
+type labCostCmd struct {
+	Sizes []int   `help:"Switches." default:"4,8,12,16,24"`
+	Gap   float64 `help:"As of plan solve." default:"0"`
+	Out   string  `short:"o" help:"Folder of the results." type:"path" default:"lab/cost" placeholder:"DIR"`
+}
+
+func (c *labCostCmd) Run() error {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	costs, err := lab.SolveCost(c.Sizes, c.Gap, func() bool { return ctx.Err() != nil })
+	for _, n := range costs {
+		fmt.Printf("%d switches, %d paths: %v, %d steps, gap %.3g\n", n.Size, n.Paths, n.Took.Round(time.Millisecond), n.Steps, n.Gap)
+	}
+	if err != nil {
+		return err
+	}
+	return lab.WriteCost(c.Out, costs)
 }
 
 type labRunCmd struct {
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -10,6 +10,9 @@
 	"github.com/google/go-cmp/cmp"
 
 	"violetspan.example/violetspan/brain"
+	"violetspan.example/violetspan/decide/plan"
+	"violetspan.example/violetspan/decide/replan"
+	"violetspan.example/violetspan/internal/planner"
 	"violetspan.example/violetspan/internal/tenant"
 )
 
@@ -110,6 +113,11 @@
 		{`"admin":{`, `"admin":{"token_env":"SHORT",`, "key admin.token_env: the variable SHORT"},
 		{`"inv.csv"`, `""`, "key inventory: missing"},
 		{`"callapi":{`, `"callapi":{"keep_answers_s":0,`, "key callapi.keep_answers_s:"},
+		{`{"callapi"`, `{"plan":{},"callapi"`, "key plan.file: missing"},
+		{`{"callapi"`, `{"plan":{"measure":true,"every":1},"callapi"`, "key plan.every: not known"},
+		{`{"callapi"`, `{"plan":{"measure":true,"margin":0},"callapi"`, "key plan.margin:"},
+		{`{"callapi"`, `{"plan":{"measure":true,"blocking":1},"callapi"`, "key plan.blocking:"},
+		{`{"callapi"`, `{"plan":{"measure":"yes"},"callapi"`, "key plan.measure:"},
 	} {
 		if _, err := ParseService([]byte(strings.Replace(service, c.from, c.to, 1)), env); err == nil || !strings.Contains(err.Error(), c.want) {
 			t.Errorf("%s: got %v, want %q in it", c.to, err, c.want)
@@ -117,6 +125,25 @@
 	}
 }
 
+// A plan's settings have defaults, and its file stands beside the service's.
+func TestPlanSettings(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "service.json")
+	text := `{"callapi":{"listen":"127.0.0.1:0"},"inventory":"inv.csv","plan":{"file":"plan.json","every_s":30}}`
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	s, err := LoadService(path, func(string) string { return "" })
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := &planner.Settings{File: filepath.Join(filepath.Dir(path), "plan.json"), Deadline: 20 * time.Second, Gap: 1e-3, Blocking: 0.2,
+		Costs: plan.Costs{Tandem: 0.02, Yard: 0.01}, Replan: replan.Settings{Every: 30 * time.Second, Valid: 10 * time.Minute, Margin: 0.01,
+			Confirm: 2, Cool: 2 * time.Minute, Memory: 2 * time.Minute, MostSeen: 4096}}
+	if diff := cmp.Diff(want, s.Plan); diff != "" {
+		t.Errorf("(-want +got)\n%s", diff)
+	}
+}
+
 // What stands under deploy/ must be readable, with its inventory beside it.
 func TestDeployedServiceFile(t *testing.T) {
 	s, err := LoadService("../../deploy/service.json", func(string) string { return "0123456789abcdef" })
--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -42,7 +42,7 @@
 		if err := e.Write(dir, runs); err != nil {
 			t.Fatal(err)
 		}
-		for _, f := range []string{"runs.csv", "table.md", "differences.svg", "setup-time.svg"} {
+		for _, f := range []string{"runs.csv", "table.md", "against-module.svg", "against-even.svg", "setup-time.svg"} {
 			if b, err := os.ReadFile(filepath.Join(dir, f)); err != nil || len(b) < 200 {
 				t.Errorf("%s: %d bytes, %v", f, len(b), err)
 			}
@@ -58,6 +58,26 @@
 	}
 }
 
+func TestSolveCost(t *testing.T) {
+	costs, err := SolveCost([]int{3, 4}, 0, nil)
+	if err != nil || len(costs) != 2 || costs[1].Stages != 3 || costs[1].Paths != 24*3 {
+		t.Fatal(costs, err)
+	}
+	dir := t.TempDir()
+	if err := WriteCost(dir, costs); err != nil {
+		t.Fatal(err)
+	}
+	if b, err := os.ReadFile(filepath.Join(dir, "solve-cost.csv")); err != nil || strings.Count(string(b), "\n") != 3 {
+		t.Error(string(b), err)
+	}
+	if _, err := SolveCost([]int{2}, 0, nil); err == nil {
+		t.Error("two switches")
+	}
+	if _, err := SolveCost([]int{5}, 0, func() bool { return true }); err == nil {
+		t.Error("it went on")
+	}
+}
+
 func TestStops(t *testing.T) {
 	ctx, cancel := context.WithCancel(context.Background())
 	cancel()
--- a/internal/lab/write.go
+++ b/internal/lab/write.go
@@ -19,7 +19,8 @@
 )
 
 // Write puts an experiment's results into a folder: runs.csv, table.md and the plots
-// differences.svg and setup-time.svg. Files of those names are replaced.
+// setup-time.svg and, for each policy but the first, against-POLICY.svg. Files of those
+// names are replaced.
 func (e *Experiment) Write(dir string, runs []Run) error {
 	if err := os.MkdirAll(dir, 0o777); err != nil {
 		return fmt.Errorf("lab: %w", err)
@@ -40,8 +41,11 @@
 			return fmt.Errorf("lab: %s: %w", f.name, err)
 		}
 	}
-	if err := e.plotDifferences(filepath.Join(dir, "differences.svg"), runs); err != nil {
-		return fmt.Errorf("lab: differences.svg: %w", err)
+	for _, other := range e.Policies[1:] {
+		name := "against-" + other + ".svg"
+		if err := e.plotDifferences(filepath.Join(dir, name), runs, other); err != nil {
+			return fmt.Errorf("lab: %s: %w", name, err)
+		}
 	}
 	if err := e.plotTimes(filepath.Join(dir, "setup-time.svg"), runs); err != nil {
 		return fmt.Errorf("lab: setup-time.svg: %w", err)
@@ -112,42 +116,35 @@
 	plotter.YErrors
 }
 
-func (e *Experiment) plotDifferences(path string, runs []Run) error {
+func (e *Experiment) plotDifferences(path string, runs []Run, other string) error {
 	p := plot.New()
-	p.Title.Text = fmt.Sprintf("%s: %s less others, 95%% intervals", e.Name, e.Policies[0])
+	p.Title.Text = fmt.Sprintf("%s: %s less %s, 95%% intervals", e.Name, e.Policies[0], other)
 	p.Y.Label.Text = "difference"
+	var pts points
 	var names []string
-	for k, other := range e.Policies[1:] {
-		var pts points
-		names = names[:0]
-		for _, d := range Compare(runs, e.Policies[0], other) {
-			pts.XYs = append(pts.XYs, plotter.XY{X: float64(len(names)) + 0.15*float64(k), Y: d.Mean})
-			pts.YErrors = append(pts.YErrors, struct{ Low, High float64 }{d.Mean - d.Low, d.High - d.Mean})
-			names = append(names, d.Metric+", "+sizeName(d.Size))
-		}
-		if len(pts.XYs) == 0 {
-			continue
-		}
-		dots, err := plotter.NewScatter(pts)
-		if err != nil {
-			return err
-		}
-		bars, err := plotter.NewYErrorBars(pts)
-		if err != nil {
-			return err
-		}
-		dots.Color, bars.Color = plotutil.Color(k), plotutil.Color(k)
-		p.Add(dots, bars)
-		p.Legend.Add("against "+other, dots)
+	for _, d := range Compare(runs, e.Policies[0], other) {
+		pts.XYs = append(pts.XYs, plotter.XY{X: float64(len(names)), Y: d.Mean})
+		pts.YErrors = append(pts.YErrors, struct{ Low, High float64 }{d.Mean - d.Low, d.High - d.Mean})
+		names = append(names, d.Metric+", "+sizeName(d.Size))
+	}
+	if len(names) == 0 {
+		return nil
+	}
+	dots, err := plotter.NewScatter(pts)
+	if err != nil {
+		return err
+	}
+	bars, err := plotter.NewYErrorBars(pts)
+	if err != nil {
+		return err
 	}
 	zero := plotter.NewFunction(func(float64) float64 { return 0 })
 	zero.Color = color.Gray{Y: 128}
-	p.Add(zero)
-	p.Legend.Top = true
+	p.Add(zero, dots, bars)
 	p.NominalX(names...)
 	p.X.Tick.Label.Rotation = 0.6
 	p.X.Tick.Label.XAlign = -1
-	return p.Save(26*vg.Centimeter, 14*vg.Centimeter, path)
+	return p.Save(22*vg.Centimeter, 13*vg.Centimeter, path)
 }
 
 func (e *Experiment) plotTimes(path string, runs []Run) error {
