--- /dev/null
+++ b/cmd/violetspan/main_test.go
@@ -0,0 +1,73 @@
+package main
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/alecthomas/kong"
+)
+
+// parse gives the command that arguments mean.
+func parse(t *testing.T, args ...string) (*cli, string) {
+	t.Helper()
+	var c cli
+	k, err := kong.New(&c)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, err := k.Parse(dashes(args))
+	if err != nil {
+		return &c, err.Error()
+	}
+	return &c, ctx.Command()
+}
+
+// The command line as it was before there were commands means what it did.
+func TestArguments(t *testing.T) {
+	for _, x := range []struct {
+		args, want, service string
+		verbose             bool
+	}{{"", "run", "", false}, {"-v", "run", "", true}, {"-service f.json", "run", "f.json", false}, {"-service=f.json -v", "run", "f.json", true},
+		{"--service f.json", "run", "f.json", false}, {"run --service f.json", "run", "f.json", false},
+		{"plan explain", `expected "<plan>"`, "", false}, {"dance", `unexpected argument dance`, "", false}} {
+		c, got := parse(t, strings.Fields(x.args)...)
+		if got != x.want || c.Run.Service != x.service || c.Run.Verbose != x.verbose {
+			t.Errorf("%q: %s, %+v", x.args, got, c.Run)
+		}
+	}
+}
+
+// A plan goes its way: solved, verified against its inventory, explained, refused
+// for another; and an inventory with faults is refused.
+func TestPlanCommands(t *testing.T) {
+	out := filepath.Join(t.TempDir(), "plan.json")
+	const example = "../../example/plan.yaml"
+	for _, c := range []interface{ Run() error }{
+		&inventoryCheckCmd{Files: []string{example}},
+		&planSolveCmd{Files: []string{example}, Out: out, Blocking: 0.2, Valid: 1e12, Deadline: 1e11},
+		&planVerifyCmd{Plan: out, Files: []string{example}},
+		&planExplainCmd{Plan: out, Most: 3},
+	} {
+		if err := c.Run(); err != nil {
+			t.Errorf("%T: %v", c, err)
+		}
+	}
+	b, err := os.ReadFile(example)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for from, to := range map[string]string{"circuits: 60": "circuits: 61", "circuits: 30}": "circuits: 31}"} {
+		other := filepath.Join(t.TempDir(), "other.yaml")
+		if err := os.WriteFile(other, []byte(strings.Replace(string(b), from, to, 1)), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		if err := (&planVerifyCmd{Plan: out, Files: []string{other}}).Run(); err == nil {
+			t.Errorf("a plan for %s holds for %s", from, to)
+		}
+	}
+	if err := (&planSolveCmd{Files: []string{example}, Blocking: 0.2, Valid: 1e12, Deadline: 1}).Run(); err == nil {
+		t.Error("solved in a nanosecond")
+	}
+}
--- a/internal/proxy/service_test.go
+++ b/internal/proxy/service_test.go
@@ -23,6 +23,7 @@
 
 	"violetspan.example/violetspan/internal/callapi"
 	"violetspan.example/violetspan/internal/config"
+	"violetspan.example/violetspan/internal/planner"
 )
 
 // do asks the administration API and returns status and body.
@@ -264,3 +265,19 @@
 		}
 	}
 }
+
+// A plan that can't be taken stops nothing: calls go on as without one.
+func TestBadPlanStopsNothing(t *testing.T) {
+	t.Parallel()
+	s := startWith(t, "\nx1", settingsJSON, func(sv *config.Service) {
+		sv.Plan = &planner.Settings{File: filepath.Join(t.TempDir(), "none.json"), Measure: true}
+	})
+	s.play(`
+		w1> {"type":"setup","call":"a","class":"space-check","number":"1","dest":1,"wait_ms":9000}
+		x1< {"type":"setup","call":"{id}","class":"space-check","number":"1","dest":1,"width":1,"wait_ms":0}
+		x1> {"type":"answer","call":"{id}","description":"d"}
+		w1< {"type":"answer","call":"a","description":"d"}`)
+	if status, got := s.do("POST", "/v1/inventory/reload", testToken, ""); status != 204 {
+		t.Errorf("got %d %s", status, got)
+	}
+}
