--- a/decide/duty/agent.go
+++ b/decide/duty/agent.go
@@ -16,17 +16,18 @@
 	seen    time.Duration
 	any     bool
 	running map[Claim]time.Duration // since when
-	ended   map[Claim]bool          // carried out here; the log doesn't know yet
+	ended   map[Claim]time.Duration // carried out here, and when that was last proposed
 }
 
 // NewAgent returns the part of an instance that may run so many duties at once.
 func NewAgent(id string, cfg Config, most int) *Agent {
-	return &Agent{id: id, cfg: cfg, most: max(1, most), running: map[Claim]time.Duration{}, ended: map[Claim]bool{}}
+	return &Agent{id: id, cfg: cfg, most: max(1, most), running: map[Claim]time.Duration{}, ended: map[Claim]time.Duration{}}
 }
 
-// Ticked notes that a tick of the log in which this instance was heard was applied,
-// and when that tick was asked for: the lease counts from there, not from its arrival.
-func (a *Agent) Ticked(asked time.Duration) { a.seen, a.any = max(a.seen, asked), true }
+// Ticked notes that a tick of the log in which this instance was heard was applied, and
+// when it had spoken, by its own steady clock: the lease counts from there and not from
+// the tick's arrival, which may be late.
+func (a *Agent) Ticked(spoke time.Duration) { a.seen, a.any = max(a.seen, spoke), true }
 
 // Leased says whether the instance may act on what the state says it owns.
 func (a *Agent) Leased(now time.Duration) bool { return a.any && now < a.seen+a.cfg.Lease }
@@ -48,7 +49,8 @@
 		if len(a.running) >= a.most {
 			break
 		}
-		if _, on := a.running[c]; !on && !a.ended[c] {
+		_, on := a.running[c]
+		if _, over := a.ended[c]; !on && !over {
 			a.running[c] = now
 			out = append(out, c)
 		}
@@ -87,18 +89,27 @@
 
 // Ended takes in how a run ended at its sink. It says whether Done is to be proposed:
 // where the effect is there, by this run or another.
-func (a *Agent) Ended(c Claim, err error) (propose bool) {
+func (a *Agent) Ended(now time.Duration, c Claim, err error) (propose bool) {
 	delete(a.running, c)
 	if err == nil || errors.Is(err, ErrDone) {
-		a.ended[c] = true
+		a.ended[c] = now
 		return true
 	}
 	return false // it is started again if it is still due here
 }
 
-// Lost says that a proposed Done may not have reached the log: it is due again, and
-// the sink will say that it is done.
-func (a *Agent) Lost(c Claim) { delete(a.ended, c) }
+// Again returns claims that were carried out here a lease ago or longer and are due
+// still: what was proposed of them was lost on its way, and is to be proposed again.
+func (a *Agent) Again(now time.Duration, s *State) []Claim {
+	var out []Claim
+	for _, c := range s.Due(a.id) {
+		if at, over := a.ended[c]; over && now >= at+a.cfg.Lease {
+			a.ended[c] = now
+			out = append(out, c)
+		}
+	}
+	return out
+}
 
 // Errors of a Sink.
 var (
--- a/decide/duty/duty.go
+++ b/decide/duty/duty.go
@@ -67,6 +67,9 @@
 type Tick struct {
 	Now   time.Duration
 	Heard []string
+	// At holds, in the order of Heard, when each of them spoke, by its own steady clock:
+	// that is where its lease counts from for itself, however late the tick reaches it.
+	At []time.Duration
 }
 
 // Done says that a claim was carried out at its sink, or found done there.
--- a/decide/duty/duty_test.go
+++ b/decide/duty/duty_test.go
@@ -83,11 +83,11 @@
 func TestClockJumps(t *testing.T) {
 	s := many(t, 3, 2)
 	heard := []string{"m0", "m1"}
-	must(t, s, Tick{100 * sec, heard}, Tick{101 * sec, heard}, Tick{50 * sec, heard})
+	must(t, s, Tick{Now: 100 * sec, Heard: heard}, Tick{Now: 101 * sec, Heard: heard}, Tick{Now: 50 * sec, Heard: heard})
 	if s.Now() != 101*sec {
 		t.Error(s.Now())
 	}
-	must(t, s, Tick{5000 * sec, heard})
+	must(t, s, Tick{Now: 5000 * sec, Heard: heard})
 	if s.Now() != 104*sec {
 		t.Error(s.Now())
 	}
@@ -103,19 +103,19 @@
 func TestLeaseRunsOut(t *testing.T) {
 	s := many(t, 20, 3)
 	all, two := []string{"m0", "m1", "m2"}, []string{"m0", "m1"}
-	must(t, s, Tick{sec, all})
+	must(t, s, Tick{Now: sec, Heard: all})
 	before := map[string]Holding{}
 	for _, h := range s.Duties() {
 		before[h.Spec.Name] = h
 	}
-	must(t, s, Tick{2 * sec, two}, Tick{3 * sec, two}, Tick{4 * sec, two})
+	must(t, s, Tick{Now: 2 * sec, Heard: two}, Tick{Now: 3 * sec, Heard: two}, Tick{Now: 4 * sec, Heard: two})
 	for _, h := range s.Duties() {
 		b := before[h.Spec.Name]
 		if h.Owner == "m2" || b.Owner == "m2" && h.Epoch <= b.Epoch || b.Owner != "m2" && h != b {
 			t.Errorf("%+v, before %+v", h, b)
 		}
 	}
-	must(t, s, Tick{5 * sec, all})
+	must(t, s, Tick{Now: 5 * sec, Heard: all})
 	n := 0
 	for _, h := range s.Duties() {
 		if h.Owner == "m2" {
@@ -148,12 +148,12 @@
 func TestPeriods(t *testing.T) {
 	s := New(cfg)
 	must(t, s, Register{Spec{Name: "up", Period: 10 * sec, MakeUp: true, MostMissed: 3}}, Register{Spec{Name: "now", Period: 10 * sec}}, Join{"a", 1},
-		Tick{1000 * sec, []string{"a"}})
+		Tick{Now: 1000 * sec, Heard: []string{"a"}})
 	if got := s.Due("a"); len(got) != 0 {
 		t.Errorf("%v: the period that was running is not owed", got)
 	}
 	for i := range 60 {
-		must(t, s, Tick{time.Duration(1001+i) * sec, []string{"a"}})
+		must(t, s, Tick{Now: time.Duration(1001+i) * sec, Heard: []string{"a"}})
 	}
 	brief := func(cs []Claim) (out []string) {
 		for _, c := range cs {
@@ -182,12 +182,15 @@
 	if got := a.Stop(19*sec, s); len(got) != 2 {
 		t.Errorf("%v past the deadline", got)
 	}
-	if a.Ended(cs[0], errors.New("it panicked")) || !a.Ended(cs[1], nil) {
+	if a.Ended(9*sec, cs[0], errors.New("it panicked")) || !a.Ended(9*sec, cs[1], nil) {
 		t.Error("proposals")
 	}
 	if diff := cmp.Diff([]string{"now106", "up105"}, brief(a.Start(9*sec, s))); diff != "" {
 		t.Error(diff)
 	}
+	if diff := cmp.Diff([]string{"up104"}, brief(append(a.Again(11*sec, s), a.Again(12*sec, s)...))); diff != "" {
+		t.Error(diff) // its Done is not in the log: proposed again after a lease, not sooner
+	}
 	must(t, s, Done{Claim{"up", s.duties["up"].series, 105, 1}}, Done{Claim{"up", s.duties["up"].series, 104, 1}}, Done{Claim{"now", 0, 106, 1}},
 		Done{Claim{"up", s.duties["up"].series, 999, 1}})
 	if diff := cmp.Diff([]string{"now106", "up106"}, brief(s.Due("a"))); diff != "" {
@@ -282,7 +285,7 @@
 						heard = append(heard, fmt.Sprint("m", i))
 					}
 				}
-				e = Tick{now - time.Duration(r.Int64N(int64(sec))), heard}
+				e = Tick{Now: now - time.Duration(r.Int64N(int64(sec))), Heard: heard}
 			}
 			if fmt.Sprint(a.Apply(e)) != fmt.Sprint(b.Apply(e)) {
 				t.Fatal(seed, e)
--- a/decide/duty/explore_test.go
+++ b/decide/duty/explore_test.go
@@ -162,10 +162,8 @@
 	if _, on := in.agent.running[f.c]; !on && !errors.Is(err, ErrDone) {
 		return // a copy
 	}
-	if in.agent.Ended(f.c, err) && w.majority() {
+	if in.agent.Ended(w.now, f.c, err) && w.majority() {
 		w.log = append(slices.Clip(w.log), Done{f.c})
-	} else if in.agent.ended[f.c] {
-		in.agent.Lost(f.c)
 	}
 }
 
@@ -180,7 +178,7 @@
 			heard = append(heard, exploreIDs[i])
 		}
 	}
-	w.log = append(slices.Clip(w.log), Tick{w.now, heard})
+	w.log = append(slices.Clip(w.log), Tick{Now: w.now, Heard: heard})
 	return true
 }
 
@@ -254,7 +252,10 @@
 			}
 			// A run whose effect was lost ends at its deadline.
 			for _, c := range w.ins[i].agent.Stop(w.now, w.state(w.ins[i].applied)) {
-				w.ins[i].agent.Ended(c, errors.New("stopped"))
+				w.ins[i].agent.Ended(w.now, c, errors.New("stopped"))
+			}
+			for _, c := range w.ins[i].agent.Again(w.now, w.state(w.ins[i].applied)) {
+				w.log = append(slices.Clip(w.log), Done{c})
 			}
 			w.start(i)
 		}
