Keep the log on a checked store: flipped bits and torn writes are found and named

Need: what was acknowledged must be there after a crash, and nothing may be served from a spoilt file. internal/cluster.Store is a bbolt file with checksums on every value, the last entry's number kept apart, and both roots checked, since bbolt would fall back on the older one and forget an acknowledged entry.

--- /dev/null
+++ b/internal/cluster/store_test.go
@@ -0,0 +1,259 @@
+package cluster
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	pb "go.etcd.io/raft/v3/raftpb"
+	"google.golang.org/protobuf/proto"
+)
+
+func entry(term, index uint64, data string) *pb.Entry {
+	return &pb.Entry{Term: proto.Uint64(term), Index: proto.Uint64(index), Data: []byte(data)}
+}
+
+func hard(term, commit uint64) *pb.HardState {
+	return &pb.HardState{Term: proto.Uint64(term), Commit: proto.Uint64(commit), Vote: proto.Uint64(1)}
+}
+
+func snap(index uint64, data string) *pb.Snapshot {
+	return &pb.Snapshot{Data: []byte(data), Metadata: &pb.SnapshotMetadata{Index: proto.Uint64(index), Term: proto.Uint64(1),
+		ConfState: &pb.ConfState{Voters: []uint64{1, 2, 3}}}}
+}
+
+// text is what a store holds, to compare.
+func text(k *Kept) string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "%d %d %d %q", k.Hard.GetTerm(), k.Hard.GetCommit(), k.Snapshot.GetMetadata().GetIndex(), k.Snapshot.GetData())
+	for _, e := range k.Entries {
+		fmt.Fprintf(&b, " %d/%d %q", e.GetTerm(), e.GetIndex(), e.GetData())
+	}
+	return b.String()
+}
+
+func load(t testing.TB, path string) (string, error) {
+	t.Helper()
+	s, err := OpenStore(path, 1)
+	if err != nil {
+		return "", err
+	}
+	defer s.Close()
+	k, err := s.Load()
+	if err != nil {
+		return "", err
+	}
+	return text(k), nil
+}
+
+// The store does as the simulation's disk does, whatever is saved, also over reopenings.
+func TestStoreIsTheDisk(t *testing.T) {
+	for seed := range uint64(10) {
+		r := rand.New(rand.NewPCG(seed, 4))
+		path := filepath.Join(t.TempDir(), "store")
+		s, err := OpenStore(path, 1)
+		if err != nil {
+			t.Fatal(err)
+		}
+		model := &memDisk{}
+		last, base := uint64(0), uint64(0)
+		for range 60 {
+			c := &Change{}
+			if r.IntN(2) == 0 {
+				c.Hard = hard(r.Uint64N(9), last)
+			}
+			switch r.IntN(8) {
+			case 0:
+				if last > base {
+					base += 1 + r.Uint64N(last-base)
+					c.Snapshot = snap(base, fmt.Sprint("state ", base))
+				}
+			case 1:
+				base = last + r.Uint64N(5)
+				last = base
+				c.Snapshot, c.Foreign = snap(base, "foreign"), true
+			default:
+				from := base + 1 + r.Uint64N(last-base+1)
+				for i := range 1 + r.Uint64N(6) {
+					last = from + i
+					c.Entries = append(c.Entries, entry(seed, last, strings.Repeat("x", r.IntN(3000))))
+				}
+			}
+			if err := errors.Join(s.Save(c), model.Save(c)); err != nil {
+				t.Fatal(err)
+			}
+			if r.IntN(10) == 0 {
+				if err := s.Close(); err != nil {
+					t.Fatal(err)
+				}
+				if s, err = OpenStore(path, 1); err != nil {
+					t.Fatal(err)
+				}
+			}
+			k, err := s.Load()
+			want, _ := model.Load()
+			if err != nil || text(k) != text(want) {
+				t.Fatalf("seed %d: %v\n%s\n%s", seed, err, text(k), text(want))
+			}
+		}
+		s.Close()
+	}
+}
+
+// written makes a store and returns its bytes before and after its last change.
+func written(t testing.TB) (before, after []byte, was, is string) {
+	path := filepath.Join(t.TempDir(), "store")
+	s, err := OpenStore(path, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	save := func(c *Change) ([]byte, string) {
+		if err := s.Save(c); err != nil {
+			t.Fatal(err)
+		}
+		b, err := os.ReadFile(path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		k, err := s.Load()
+		if err != nil {
+			t.Fatal(err)
+		}
+		return b, text(k)
+	}
+	save(&Change{Hard: hard(1, 1), Snapshot: snap(1, strings.Repeat("state", 100))})
+	for i := range uint64(40) {
+		before, was = save(&Change{Hard: hard(2, i+1), Entries: []*pb.Entry{entry(2, i+2, fmt.Sprintf("entry %d %s", i, strings.Repeat("y", 200)))}})
+	}
+	after, is = save(&Change{Hard: hard(3, 30), Entries: []*pb.Entry{entry(3, 30, "another"), entry(3, 31, "and one")}})
+	s.Close()
+	return before, after, was, is
+}
+
+// Any one flipped bit, and any file cut short, is found, or does no harm: what is loaded
+// is what was saved, or there is an error that names the file.
+func TestFlippedBits(t *testing.T) {
+	_, after, _, is := written(t)
+	dir, n := t.TempDir(), 0
+	r := rand.New(rand.NewPCG(1, 1))
+	found, harmless := 0, 0
+	try := func(b []byte, what string) {
+		n++ // a file of its own: a spoilt one may stay locked
+		path := filepath.Join(dir, fmt.Sprint(n))
+		if err := os.WriteFile(path, b, 0o600); err != nil {
+			t.Fatal(err)
+		}
+		got, err := load(t, path)
+		switch {
+		case err != nil && (!strings.Contains(err.Error(), path) || !errors.Is(err, ErrCorrupt) && !errors.Is(err, ErrOwner)):
+			t.Fatalf("%s: not an error of this file: %v", what, err)
+		case err != nil:
+			found++
+		case got == is:
+			harmless++
+		default:
+			t.Fatalf("%s: loaded %.200s", what, got)
+		}
+	}
+	for range 600 {
+		b := bytes.Clone(after)
+		i := r.IntN(len(b))
+		b[i] ^= 1 << r.IntN(8)
+		try(b, fmt.Sprintf("byte %d", i))
+	}
+	for size := 0; size < len(after); size += 1777 {
+		try(after[:size], fmt.Sprintf("%d bytes", size))
+	}
+	if found == 0 || harmless == 0 {
+		t.Error(found, harmless)
+	}
+	t.Logf("%d found, %d harmless", found, harmless)
+}
+
+// A write that was torn by a crash leaves the state before it: any part of its pages,
+// in any order, without the root that makes them count. A root that is half written,
+// which disks don't do, is refused, since a spoilt one looks alike.
+func TestTornWrite(t *testing.T) {
+	before, after, was, is := written(t)
+	const page = 4096
+	path := filepath.Join(t.TempDir(), "torn")
+	r := rand.New(rand.NewPCG(2, 2))
+	for range 100 {
+		b := bytes.Clone(before)
+		if len(after) > len(b) {
+			b = append(b, make([]byte, len(after)-len(b))...)
+		}
+		for p := 2; p < len(after)/page; p++ { // pages 0 and 1 are the roots
+			if r.IntN(2) == 0 {
+				copy(b[p*page:(p+1)*page], after[p*page:(p+1)*page])
+			}
+		}
+		want, half := was, false
+		if r.IntN(2) == 0 { // all pages, and a part of a root
+			copy(b[2*page:], after[2*page:])
+			for p := range 2 {
+				if !bytes.Equal(before[p*page:(p+1)*page], after[p*page:(p+1)*page]) {
+					n := r.IntN(80)
+					copy(b[p*page:p*page+n], after[p*page:])
+					switch {
+					case bytes.Equal(b[p*page:(p+1)*page], after[p*page:(p+1)*page]):
+						want = is
+					case !bytes.Equal(b[p*page:(p+1)*page], before[p*page:(p+1)*page]):
+						half = true
+					}
+				}
+			}
+		}
+		if err := os.WriteFile(path, b, 0o600); err != nil {
+			t.Fatal(err)
+		}
+		if got, err := load(t, path); half && errors.Is(err, ErrCorrupt) {
+			continue
+		} else if err != nil || got != want {
+			t.Fatalf("%v\n%.200s\n%.200s", err, got, want)
+		}
+	}
+}
+
+func TestStoreOwners(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "store")
+	s, err := OpenStore(path, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := OpenStore(path, 1); err == nil || !strings.Contains(err.Error(), "another process holds it") {
+		t.Error(err)
+	}
+	if st, err := os.Stat(path); err != nil || st.Mode().Perm() != 0o600 {
+		t.Error(st, err)
+	}
+	s.Close()
+	if _, err := OpenStore(path, 2); !errors.Is(err, ErrOwner) {
+		t.Error(err)
+	}
+	if _, err := OpenStore(filepath.Join(t.TempDir(), "no", "such"), 1); err == nil || errors.Is(err, ErrCorrupt) {
+		t.Error(err)
+	}
+}
+
+func FuzzStore(f *testing.F) {
+	_, after, _, _ := written(f)
+	f.Add(uint32(0), []byte{1})
+	f.Add(uint32(4096), []byte("rubbish"))
+	f.Fuzz(func(t *testing.T, at uint32, patch []byte) {
+		b := bytes.Clone(after)
+		copy(b[int(at)%len(b):], patch)
+		path := filepath.Join(t.TempDir(), "store")
+		if err := os.WriteFile(path, b, 0o600); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := load(t, path); err != nil && !strings.Contains(err.Error(), path) {
+			t.Error(err)
+		}
+	})
+}
