--- a/internal/cluster/entry.go
+++ b/internal/cluster/entry.go
@@ -18,6 +18,9 @@
 
 var api = jsoniter.Config{SortMapKeys: true, DisallowUnknownFields: true}.Froze()
 
+// lenient reads what a later minor version may have added to.
+var lenient = jsoniter.Config{SortMapKeys: true}.Froze()
+
 // entryVersion is that of an entry's form. An instance that finds a later one in its
 // log can't go on: it would hold another state than the others.
 const entryVersion = 1
--- /dev/null
+++ b/internal/cluster/frame.go
@@ -0,0 +1,156 @@
+package cluster
+
+import (
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"hash/crc32"
+	"io"
+	"time"
+
+	pb "go.etcd.io/raft/v3/raftpb"
+	"google.golang.org/protobuf/proto"
+)
+
+// A frame is what instances send each other:
+//
+//	magic:2 major:1 minor:1 type:1 zero:3 length:4 checksum:4 payload
+//
+// big-endian; the length is that of the payload, the checksum its CRC-32C. Instances of
+// one major version understand each other. A later minor version may add types, which an
+// earlier one skips, and fields at a payload's end, which it ignores.
+const (
+	frameMagic  = 0x7653
+	FrameMajor  = 1
+	FrameMinor  = 0
+	frameHeader = 16
+	// MaxFrame bounds a payload, in bytes: a snapshot goes in one.
+	MaxFrame = 16 << 20
+)
+
+// FrameType is what a frame holds.
+type FrameType byte
+
+// The types of frames.
+const (
+	FrameHello FrameType = 1 // first each way: who speaks, and which versions it knows
+	FrameRaft  FrameType = 2 // a message of the log
+	FrameBeat  FrameType = 3 // to the leader: the sender spoke, at a time of its own clock
+)
+
+// Frame is one frame.
+type Frame struct {
+	Minor   byte
+	Type    FrameType
+	Payload []byte
+}
+
+// Errors of ReadFrame.
+var (
+	ErrFrame = errors.New("cluster: a malformed frame")
+	ErrMajor = errors.New("cluster: a frame of another major version")
+)
+
+// AppendFrame adds a frame's bytes to b.
+func AppendFrame(b []byte, f Frame) ([]byte, error) {
+	if len(f.Payload) > MaxFrame {
+		return b, fmt.Errorf("%w: %d bytes, more than %d", ErrFrame, len(f.Payload), MaxFrame)
+	}
+	b = binary.BigEndian.AppendUint16(b, frameMagic)
+	b = append(b, FrameMajor, f.Minor, byte(f.Type), 0, 0, 0)
+	b = binary.BigEndian.AppendUint32(b, uint32(len(f.Payload)))
+	b = binary.BigEndian.AppendUint32(b, crc32.Checksum(f.Payload, castagnoli))
+	return append(b, f.Payload...), nil
+}
+
+// ReadFrame reads one frame. A clean end of the input is io.EOF; nothing is allocated
+// for a payload beyond what arrives, but for 64 KiB.
+func ReadFrame(r io.Reader) (Frame, error) {
+	var h [frameHeader]byte
+	if _, err := io.ReadFull(r, h[:]); err != nil {
+		return Frame{}, err
+	}
+	n := binary.BigEndian.Uint32(h[8:])
+	switch {
+	case binary.BigEndian.Uint16(h[:]) != frameMagic:
+		return Frame{}, fmt.Errorf("%w: it begins with %x", ErrFrame, h[:2])
+	case h[2] != FrameMajor:
+		return Frame{}, fmt.Errorf("%w: %d", ErrMajor, h[2])
+	case n > MaxFrame:
+		return Frame{}, fmt.Errorf("%w: a length of %d", ErrFrame, n)
+	}
+	f := Frame{Minor: h[3], Type: FrameType(h[4])}
+	for left := int(n); left > 0; {
+		part := min(left, 64<<10)
+		at := len(f.Payload)
+		f.Payload = append(f.Payload, make([]byte, part)...)
+		if _, err := io.ReadFull(r, f.Payload[at:]); err != nil {
+			if errors.Is(err, io.EOF) {
+				err = io.ErrUnexpectedEOF
+			}
+			return Frame{}, err
+		}
+		left -= part
+	}
+	if crc32.Checksum(f.Payload, castagnoli) != binary.BigEndian.Uint32(h[12:]) {
+		return Frame{}, fmt.Errorf("%w: a wrong checksum", ErrFrame)
+	}
+	return f, nil
+}
+
+// Hello is the payload of a FrameHello.
+type Hello struct {
+	Installation string `json:"installation"`
+	Member       uint64 `json:"member"`
+	Name         string `json:"name"`
+	Minor        int    `json:"minor"` // the latest that the sender knows
+}
+
+// HelloFrame makes the frame of a Hello.
+func HelloFrame(h Hello) (Frame, error) {
+	b, err := api.Marshal(h)
+	return Frame{FrameMinor, FrameHello, b}, err
+}
+
+// Hello reads a FrameHello. Fields that it doesn't know are of a later minor version.
+func (f Frame) Hello() (Hello, error) {
+	var h Hello
+	if f.Type != FrameHello {
+		return h, fmt.Errorf("%w: type %d in place of a hello", ErrFrame, f.Type)
+	}
+	if err := lenient.Unmarshal(f.Payload, &h); err != nil {
+		return h, fmt.Errorf("%w: hello: %w", ErrFrame, err)
+	}
+	if h.Member == 0 || h.Installation == "" || len(h.Installation) > 128 || len(h.Name) > 128 {
+		return h, fmt.Errorf("%w: hello of member %d", ErrFrame, h.Member)
+	}
+	return h, nil
+}
+
+// RaftFrame makes the frame of a message of the log.
+func RaftFrame(m *pb.Message) (Frame, error) {
+	b, err := proto.Marshal(m)
+	return Frame{FrameMinor, FrameRaft, b}, err
+}
+
+// Raft reads a FrameRaft.
+func (f Frame) Raft() (*pb.Message, error) {
+	m := &pb.Message{}
+	if err := proto.Unmarshal(f.Payload, m); err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrFrame, err)
+	}
+	return m, nil
+}
+
+// BeatFrame makes the frame of a beat.
+func BeatFrame(at time.Duration) Frame {
+	return Frame{FrameMinor, FrameBeat, number(uint64(at))}
+}
+
+// Beat reads a FrameBeat.
+func (f Frame) Beat() (time.Duration, error) {
+	if len(f.Payload) < 8 {
+		return 0, fmt.Errorf("%w: a beat of %d bytes", ErrFrame, len(f.Payload))
+	}
+	return time.Duration(binary.BigEndian.Uint64(f.Payload)), nil
+}
