--- /dev/null
+++ b/internal/cluster/host_test.go
@@ -0,0 +1,443 @@
+package cluster
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"violetspan.example/violetspan/decide/duty"
+)
+
+var chaosFlag = flag.Duration("chaos", 12*time.Second, "how long TestProcesses breaks things")
+
+// The test binary is also the instance that the test starts, kills and stops.
+const nodeEnv = "VIOLETSPAN_TEST_INSTANCE"
+
+type nodeConfig struct {
+	ID     uint64
+	Dir    string
+	Peers  []Peer // each by the way that the test may cut
+	Sink   string
+	Duties []duty.Spec
+}
+
+func TestMain(m *testing.M) {
+	if text := os.Getenv(nodeEnv); text != "" {
+		if err := instance(text); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			os.Exit(1)
+		}
+		return
+	}
+	os.Exit(m.Run())
+}
+
+// instance runs one member until its input ends.
+func instance(text string) error {
+	var c nodeConfig
+	if err := json.Unmarshal([]byte(text), &c); err != nil {
+		return err
+	}
+	keys, err := OpenKeys(c.Dir)
+	if err != nil {
+		return err
+	}
+	disk, err := OpenStore(filepath.Join(c.Dir, "store"), c.ID)
+	if err != nil {
+		return err
+	}
+	defer disk.Close()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	name := memberName(c.ID)
+	h, err := NewHost(HostConfig{ID: c.ID, Name: name, Keys: keys, Listener: ln, Peers: c.Peers, Founder: true, Disk: disk, Duties: c.Duties,
+		Run: func(ctx context.Context, cl duty.Claim) error { return claimAt(ctx, c.Sink, name, cl) },
+		Log: slog.New(slog.NewTextHandler(os.Stderr, nil))})
+	if err != nil {
+		return err
+	}
+	fmt.Println(ln.Addr())
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go func() {
+		_, _ = io.Copy(io.Discard, os.Stdin) // the test has gone
+		cancel()
+	}()
+	return h.Run(ctx)
+}
+
+// claimAt asks the sink over a connection of its own.
+func claimAt(ctx context.Context, addr, name string, c duty.Claim) error {
+	var d net.Dialer
+	conn, err := d.DialContext(ctx, "tcp", addr)
+	if err != nil {
+		return err
+	}
+	defer conn.Close()
+	stop := context.AfterFunc(ctx, func() { conn.Close() })
+	defer stop()
+	if err := json.NewEncoder(conn).Encode(struct {
+		Name  string
+		Claim duty.Claim
+	}{name, c}); err != nil {
+		return err
+	}
+	answer, err := bufio.NewReader(conn).ReadString('\n')
+	switch strings.TrimSpace(answer) {
+	case "ok":
+		return nil
+	case "done":
+		return duty.ErrDone
+	case "fenced":
+		return duty.ErrFenced
+	}
+	return fmt.Errorf("sink: %q, %w", answer, err)
+}
+
+// sinkServer is the place where effects land, with its fence.
+type sinkServer struct {
+	ln net.Listener
+
+	mu      sync.Mutex
+	sink    *duty.Sink
+	effects []effect
+	fenced  int
+	repeats int
+}
+
+type effect struct {
+	at   time.Time
+	name string
+	c    duty.Claim
+}
+
+func newSinkServer(t testing.TB) *sinkServer {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &sinkServer{ln: ln, sink: duty.NewSink()}
+	t.Cleanup(func() { ln.Close() })
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				_ = c.SetDeadline(time.Now().Add(10 * time.Second))
+				var q struct {
+					Name  string
+					Claim duty.Claim
+				}
+				if json.NewDecoder(c).Decode(&q) != nil {
+					return
+				}
+				fmt.Fprintln(c, s.take(q.Name, q.Claim))
+			}()
+		}
+	}()
+	return s
+}
+
+func (s *sinkServer) take(name string, c duty.Claim) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch err := s.sink.Accept(c); {
+	case err == nil:
+		s.effects = append(s.effects, effect{time.Now(), name, c})
+		return "ok"
+	case errors.Is(err, duty.ErrDone):
+		s.repeats++
+		return "done"
+	default:
+		s.fenced++
+		return "fenced"
+	}
+}
+
+// wires are the ways between instances, one each direction; each can be cut.
+type wires struct {
+	mu   sync.Mutex
+	to   map[uint64]string // where each instance listens now
+	cut  map[[2]uint64]bool
+	open map[[2]uint64][]net.Conn
+}
+
+// way opens the way from one instance to another and returns its address.
+func (w *wires) way(t testing.TB, from, to uint64) string {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	go func() {
+		for {
+			a, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			w.mu.Lock()
+			addr, cut := w.to[to], w.cut[[2]uint64{from, to}]
+			w.mu.Unlock()
+			if cut || addr == "" {
+				a.Close()
+				continue
+			}
+			b, err := net.DialTimeout("tcp", addr, time.Second)
+			if err != nil {
+				a.Close()
+				continue
+			}
+			w.mu.Lock()
+			k := [2]uint64{from, to}
+			w.open[k] = append(w.open[k], a, b)
+			w.mu.Unlock()
+			for _, p := range [][2]net.Conn{{a, b}, {b, a}} {
+				go func() {
+					_, _ = io.Copy(p[0], p[1])
+					p[0].Close()
+					p[1].Close()
+				}()
+			}
+		}
+	}()
+	return ln.Addr().String()
+}
+
+func (w *wires) set(from, to uint64, cut bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	k := [2]uint64{from, to}
+	if w.cut[k] = cut; cut {
+		for _, c := range w.open[k] {
+			c.Close()
+		}
+		w.open[k] = nil
+	}
+}
+
+// procs are the instances as processes.
+type procs struct {
+	t       *testing.T
+	configs []string
+	cmds    []*exec.Cmd
+	ins     []io.WriteCloser
+	w       *wires
+	logs    *os.File
+}
+
+func (p *procs) start(i int) {
+	cmd := exec.Command(os.Args[0])
+	cmd.Env = append(os.Environ(), nodeEnv+"="+p.configs[i])
+	cmd.Stderr = p.logs
+	in, err := cmd.StdinPipe()
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	out, err := cmd.StdoutPipe()
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	if err := cmd.Start(); err != nil {
+		p.t.Fatal(err)
+	}
+	addr, err := bufio.NewReader(out).ReadString('\n')
+	if err != nil {
+		p.t.Fatalf("instance %d: %v", i+1, err)
+	}
+	p.w.mu.Lock()
+	p.w.to[uint64(i+1)] = strings.TrimSpace(addr)
+	p.w.mu.Unlock()
+	p.cmds[i], p.ins[i] = cmd, in
+}
+
+func (p *procs) kill(i int) {
+	_ = p.cmds[i].Process.Kill() // it may have ended by itself, which Wait tells
+	_ = p.cmds[i].Wait()
+	p.ins[i].Close()
+}
+
+// Seven real processes on loopback, killed, stopped and cut off from each other at
+// random: each duty's every period is done once, and soon by another when its owner
+// is gone. One machine, an ordinary user; -chaos 60s for the long form.
+func TestProcesses(t *testing.T) {
+	const n = 7
+	seed := uint64(1)
+	r := rand.New(rand.NewPCG(seed, 2))
+	ca, _ := party(t, "tran")
+	sink := newSinkServer(t)
+	w := &wires{to: map[uint64]string{}, cut: map[[2]uint64]bool{}, open: map[[2]uint64][]net.Conn{}}
+	var duties []duty.Spec
+	for d := range 14 {
+		duties = append(duties, duty.Spec{Name: fmt.Sprint("duty-", d), Period: 300 * time.Millisecond, Deadline: 2 * time.Second, MakeUp: true, MostMissed: 1 << 20})
+	}
+	logs, err := os.Create(filepath.Join(t.TempDir(), "log"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer logs.Close()
+	p := &procs{t: t, w: w, cmds: make([]*exec.Cmd, n), ins: make([]io.WriteCloser, n), logs: logs}
+	for i := range uint64(n) {
+		dir := filepath.Join(t.TempDir(), "member")
+		if err := ca.Issue(dir, i+1, time.Now()); err != nil {
+			t.Fatal(err)
+		}
+		c := nodeConfig{ID: i + 1, Dir: dir, Sink: sink.ln.Addr().String(), Duties: duties}
+		for j := range uint64(n) {
+			peer := Peer{ID: j + 1, Name: memberName(j + 1)}
+			if i != j {
+				peer.Addr = w.way(t, i+1, j+1)
+			}
+			c.Peers = append(c.Peers, peer)
+		}
+		b, err := json.Marshal(c)
+		if err != nil {
+			t.Fatal(err)
+		}
+		p.configs = append(p.configs, string(b))
+	}
+	for i := range n {
+		p.start(i)
+	}
+	defer func() {
+		for i := range n {
+			_ = p.cmds[i].Process.Signal(syscall.SIGCONT) // one that was killed is beyond it
+			p.kill(i)
+		}
+	}()
+	time.Sleep(4 * time.Second) // a leader, joins, duties
+	type gone struct {
+		name string
+		at   time.Time
+	}
+	var gones []gone
+	var wg sync.WaitGroup
+	var mu sync.Mutex
+	busy := make([]bool, n)
+	free := func() int { // one to break, so that four of seven are always well
+		mu.Lock()
+		defer mu.Unlock()
+		if c := slices.DeleteFunc(slices.Clone(busy), func(b bool) bool { return !b }); len(c) >= 3 {
+			return -1
+		}
+		i := r.IntN(n)
+		if busy[i] {
+			return -1
+		}
+		busy[i] = true
+		return i
+	}
+	kinds := map[string]int{}
+	for end := time.Now().Add(*chaosFlag); time.Now().Before(end); time.Sleep(time.Duration(300+r.IntN(900)) * time.Millisecond) {
+		i := free()
+		if i < 0 {
+			continue
+		}
+		how, length := r.IntN(3), time.Duration(1500+r.IntN(2500))*time.Millisecond
+		kinds[[]string{"killed", "stopped", "cut off"}[how]]++
+		gones = append(gones, gone{memberName(uint64(i + 1)), time.Now()})
+		other, oneWay := uint64(1+r.IntN(n)), r.IntN(2) == 0
+		switch how {
+		case 0:
+			p.kill(i)
+		case 1:
+			_ = p.cmds[i].Process.Signal(syscall.SIGSTOP)
+		}
+		wg.Go(func() {
+			defer func() { mu.Lock(); busy[i] = false; mu.Unlock() }()
+			me := uint64(i + 1)
+			if how == 2 {
+				for j := uint64(1); j <= n; j++ {
+					if oneWay && j != other { // what it says reaches nobody but one; it hears all
+						w.set(me, j, true)
+					} else if !oneWay {
+						w.set(me, j, true)
+						w.set(j, me, true)
+					}
+				}
+			}
+			time.Sleep(length)
+			switch how {
+			case 0:
+				p.start(i)
+			case 1:
+				_ = p.cmds[i].Process.Signal(syscall.SIGCONT)
+			default:
+				for j := uint64(1); j <= n; j++ {
+					w.set(me, j, false)
+					w.set(j, me, false)
+				}
+			}
+		})
+	}
+	wg.Wait()
+	settled := time.Now()
+	time.Sleep(5 * time.Second)
+	sink.mu.Lock()
+	defer sink.mu.Unlock()
+	per := map[string][]effect{}
+	for _, e := range sink.effects {
+		per[e.c.Duty] = append(per[e.c.Duty], e)
+	}
+	if len(per) != len(duties) {
+		t.Errorf("%d of %d duties were ever done", len(per), len(duties))
+	}
+	for name, es := range per {
+		seen := map[int64]int{}
+		low, high := es[0].c.Period, es[0].c.Period
+		for _, e := range es {
+			seen[e.c.Period]++
+			low, high = min(low, e.c.Period), max(high, e.c.Period)
+		}
+		for k := low; k <= high; k++ {
+			if seen[k] != 1 {
+				t.Errorf("%s: period %d done %d times", name, k, seen[k])
+			}
+		}
+		if last := es[len(es)-1].at; last.Before(settled.Add(3 * time.Second)) {
+			t.Errorf("%s: not done since %v before the end", name, time.Since(last).Round(time.Millisecond))
+		}
+	}
+	// How long a duty of an instance that is gone waits for another's first effect.
+	var took []time.Duration
+	for _, g := range gones {
+		for _, es := range per {
+			k := slices.IndexFunc(es, func(e effect) bool { return e.at.After(g.at) })
+			if k <= 0 || es[k-1].name != g.name || es[k].name == g.name {
+				continue
+			}
+			took = append(took, es[k].at.Sub(g.at))
+		}
+	}
+	slices.Sort(took)
+	if len(took) == 0 {
+		t.Fatal("nothing was ever taken over")
+	}
+	t.Logf("%v; %d effects, %d fenced, %d found done; %d takeovers: p50 %v, p99 %v, most %v", kinds, len(sink.effects), sink.fenced, sink.repeats, len(took),
+		took[len(took)/2].Round(time.Millisecond), took[min(len(took)-1, len(took)*99/100)].Round(time.Millisecond), took[len(took)-1].Round(time.Millisecond))
+	if t.Failed() {
+		if b, err := os.ReadFile(logs.Name()); err == nil {
+			t.Logf("%.4000s", b)
+		}
+	}
+}
