Commands that make, renew, show and revoke instances' identities

Need: an installation's operators make an authority and members' certificates without another tool. violetspan cluster init, join, ca show, ca revoke; files that are there are never replaced by init.

--- a/cmd/violetspan/main.go
+++ b/cmd/violetspan/main.go
@@ -27,6 +27,7 @@
 	Plan      planCmd      `cmd:"" help:"Work out routes and shares ahead of time."`
 	Lab       labCmd       `cmd:"" help:"Run experiments on an emulated mesh."`
 	Inventory inventoryCmd `cmd:"" help:"Look at inventory files."`
+	Cluster   clusterCmd   `cmd:"" help:"Identities of instances that share duties."`
 }
 
 // errConfig marks errors of what the user wrote: exit code 2.
--- a/cmd/violetspan/main_test.go
+++ b/cmd/violetspan/main_test.go
@@ -71,3 +71,36 @@
 		t.Error("solved in a nanosecond")
 	}
 }
+
+// An installation is made, a member joins, is renewed and revoked.
+func TestClusterCommands(t *testing.T) {
+	dir := t.TempDir()
+	ca, one, two := filepath.Join(dir, "ca"), filepath.Join(dir, "one"), filepath.Join(dir, "two")
+	for _, c := range []interface{ Run() error }{
+		&clusterInitCmd{Installation: "tran", CA: ca, Dir: one},
+		&clusterJoinCmd{Member: 2, CA: ca, Dir: two},
+		&clusterJoinCmd{Member: 2, CA: ca, Dir: two},
+		&clusterShowCmd{Dir: two},
+		&clusterRevokeCmd{Dir: one, Serial: "ABC123"},
+		&clusterRevokeCmd{Dir: one, Serial: "abc124"},
+		&clusterShowCmd{Dir: one},
+	} {
+		if err := c.Run(); err != nil {
+			t.Errorf("%T: %v", c, err)
+		}
+	}
+	if b, err := os.ReadFile(filepath.Join(one, "revoked")); err != nil || string(b) != "abc123\nabc124\n" {
+		t.Errorf("%q %v", b, err)
+	}
+	for _, c := range []interface{ Run() error }{
+		&clusterInitCmd{Installation: "tran", CA: ca, Dir: one}, // never replaced
+		&clusterJoinCmd{Member: 0, CA: ca, Dir: two},
+		&clusterJoinCmd{Member: 2, CA: two, Dir: two}, // no authority's key there
+		&clusterShowCmd{Dir: ca},
+		&clusterRevokeCmd{Dir: one, Serial: "green"},
+	} {
+		if c.Run() == nil {
+			t.Errorf("%T %+v went well", c, c)
+		}
+	}
+}
--- a/internal/cluster/pki.go
+++ b/internal/cluster/pki.go
@@ -74,6 +74,9 @@
 	if installation == "" || len(installation) > 64 || strings.ContainsAny(installation, "/ \t\n") {
 		return nil, fmt.Errorf("cluster: installation %q is no plain name", installation)
 	}
+	if err := os.MkdirAll(dir, 0o700); err != nil {
+		return nil, fmt.Errorf("cluster: %w", err)
+	}
 	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
 	if err != nil {
 		return nil, err
@@ -365,3 +368,28 @@
 	return &tls.Config{MinVersion: tls.VersionTLS13, Certificates: []tls.Certificate{*k.pair}, RootCAs: k.roots,
 		ServerName: memberName(member), VerifyConnection: k.check(member), Time: k.Now}
 }
+
+// Revoke adds a serial number to those that a member refuses. A running one rereads
+// the list within ten leases.
+func Revoke(dir, serial string) error {
+	n, ok := new(big.Int).SetString(serial, 16)
+	if !ok || n.Sign() <= 0 {
+		return fmt.Errorf("cluster: serial %q is not hexadecimal", serial)
+	}
+	path := filepath.Join(dir, FileRevoked)
+	b, err := os.ReadFile(path)
+	if err != nil && !errors.Is(err, os.ErrNotExist) {
+		return fmt.Errorf("cluster: %w", err)
+	}
+	if len(b) > 0 && b[len(b)-1] != '\n' {
+		b = append(b, '\n')
+	}
+	tmp := path + ".new"
+	if err := os.WriteFile(tmp, append(b, n.Text(16)+"\n"...), modeSecret); err != nil {
+		return fmt.Errorf("cluster: %w", err)
+	}
+	if err := os.Rename(tmp, path); err != nil {
+		return fmt.Errorf("cluster: %w", err)
+	}
+	return nil
+}
