A tenant without a share has nothing beyond it

Change: 1 where the key is left out. Measured: the generated pairs of CSV and YAML load alike as before.

--- a/internal/inventory/inventory.go
+++ b/internal/inventory/inventory.go
@@ -367,7 +367,7 @@
 		return r.bad(line, "token_sha256", fmt.Sprintf("tenant %q has it already", other))
 	}
 	r.tokens[s.TokenSHA256] = e.id
-	share := plan.Tenant{ID: e.id, Share: r.number(e, "share", 0)}
+	share := plan.Tenant{ID: e.id, Share: r.number(e, "share", 1)}
 	if share.Share > 1 {
 		_, line := e.at("share")
 		r.note(line, "share", "more than 1")
--- a/internal/inventory/inventory_test.go
+++ b/internal/inventory/inventory_test.go
@@ -48,7 +48,7 @@
 			{ID: "lot-b", Addr: "ws://127.0.0.1:9102/x", Number: 1, State: brain.Draining}},
 		Tenants: []tenant.Spec{{ID: "acme", TokenSHA256: hash, MaxCalls: 5, CallsPerSecond: 2.5},
 			{ID: "other", TokenSHA256: hash2, Disabled: true}},
-		Plan: plan.Problem{Switches: []plan.Switch{{ID: "lot-a"}, {ID: "lot-b", Phase: plan.Draining}}, Tenants: []plan.Tenant{{ID: "acme"}, {ID: "other"}}}}
+		Plan: plan.Problem{Switches: []plan.Switch{{ID: "lot-a"}, {ID: "lot-b", Phase: plan.Draining}}, Tenants: []plan.Tenant{{ID: "acme", Share: 1}, {ID: "other", Share: 1}}}}
 	for name, text := range map[string]string{"a.yaml": yamlText, "a.yml": yamlText, "a.csv": csvText, "b.csv": "\ufeff" + csvText} {
 		got, err := Parse(name, []byte(fill(text)))
 		if diff := cmp.Diff(want, got); err != nil || diff != "" {
