--- a/internal/cluster/member.go
+++ b/internal/cluster/member.go
@@ -77,8 +77,9 @@
 	applied uint64
 	snapAt  uint64
 	conf    *pb.ConfState
-	silent  int // ticks since the leader was heard
-	stand   int // ticks of silence after which it stands
+	changed bool // the members have, since the last snapshot
+	silent  int  // ticks since the leader was heard
+	stand   int  // ticks of silence after which it stands
 	broken  error
 }
 
@@ -326,7 +327,8 @@
 		}
 		m.rn.Advance(rd)
 	}
-	if m.applied >= m.snapAt+m.cfg.SnapshotEvery {
+	// A member that joins ignores a snapshot that does not name it.
+	if m.applied >= m.snapAt+m.cfg.SnapshotEvery || m.changed && m.applied > m.snapAt {
 		if err := m.snapshot(); err != nil {
 			return m.fail(out, err)
 		}
@@ -362,13 +364,13 @@
 		if err := proto.Unmarshal(e.GetData(), cc); err != nil {
 			return fmt.Errorf("entry %d: %w", e.GetIndex(), err)
 		}
-		m.conf = m.rn.ApplyConfChange(cc)
+		m.conf, m.changed = m.rn.ApplyConfChange(cc), true
 	case pb.EntryConfChangeV2:
 		cc := &pb.ConfChangeV2{}
 		if err := proto.Unmarshal(e.GetData(), cc); err != nil {
 			return fmt.Errorf("entry %d: %w", e.GetIndex(), err)
 		}
-		m.conf = m.rn.ApplyConfChange(cc)
+		m.conf, m.changed = m.rn.ApplyConfChange(cc), true
 	}
 	m.applied = e.GetIndex()
 	return nil
@@ -397,7 +399,7 @@
 	if err := m.cfg.Disk.Save(&Change{Snapshot: s}); err != nil {
 		return err
 	}
-	m.snapAt = m.applied
+	m.snapAt, m.changed = m.applied, false
 	first, err := m.mem.FirstIndex()
 	if err != nil {
 		return err
