--- a/internal/cluster/host_test.go
+++ b/internal/cluster/host_test.go
@@ -24,7 +24,10 @@
 	"violetspan.example/violetspan/decide/duty"
 )
 
-var chaosFlag = flag.Duration("chaos", 12*time.Second, "how long TestProcesses breaks things")
+var (
+	chaosFlag = flag.Duration("chaos", 12*time.Second, "how long TestProcesses breaks things")
+	leaseFlag = flag.Duration("lease", time.Second, "lease of TestProcesses' instances")
+)
 
 // The test binary is also the instance that the test starts, kills and stops.
 const nodeEnv = "VIOLETSPAN_TEST_INSTANCE"
@@ -35,6 +38,7 @@
 	Peers  []Peer // each by the way that the test may cut
 	Sink   string
 	Duties []duty.Spec
+	Lease  time.Duration
 }
 
 func TestMain(m *testing.M) {
@@ -68,7 +72,7 @@
 		return err
 	}
 	name := memberName(c.ID)
-	h, err := NewHost(HostConfig{ID: c.ID, Name: name, Keys: keys, Listener: ln, Peers: c.Peers, Founder: true, Disk: disk, Duties: c.Duties,
+	h, err := NewHost(HostConfig{ID: c.ID, Name: name, Keys: keys, Listener: ln, Peers: c.Peers, Founder: true, Disk: disk, Duties: c.Duties, Lease: c.Lease,
 		Run: func(ctx context.Context, cl duty.Claim) error { return claimAt(ctx, c.Sink, name, cl) },
 		Log: slog.New(slog.NewTextHandler(os.Stderr, nil))})
 	if err != nil {
@@ -302,7 +306,7 @@
 		if err := ca.Issue(dir, i+1, time.Now()); err != nil {
 			t.Fatal(err)
 		}
-		c := nodeConfig{ID: i + 1, Dir: dir, Sink: sink.ln.Addr().String(), Duties: duties}
+		c := nodeConfig{ID: i + 1, Dir: dir, Sink: sink.ln.Addr().String(), Duties: duties, Lease: *leaseFlag}
 		for j := range uint64(n) {
 			peer := Peer{ID: j + 1, Name: memberName(j + 1)}
 			if i != j {
@@ -325,7 +329,7 @@
 			p.kill(i)
 		}
 	}()
-	time.Sleep(4 * time.Second) // a leader, joins, duties
+	time.Sleep(2*time.Second + 2**leaseFlag) // a leader, joins, duties
 	type gone struct {
 		name string
 		at   time.Time
@@ -392,7 +396,7 @@
 	}
 	wg.Wait()
 	settled := time.Now()
-	time.Sleep(5 * time.Second)
+	time.Sleep(3*time.Second + 2**leaseFlag)
 	sink.mu.Lock()
 	defer sink.mu.Unlock()
 	per := map[string][]effect{}
@@ -414,7 +418,7 @@
 				t.Errorf("%s: period %d done %d times", name, k, seen[k])
 			}
 		}
-		if last := es[len(es)-1].at; last.Before(settled.Add(3 * time.Second)) {
+		if last := es[len(es)-1].at; last.Before(settled.Add(2*time.Second + *leaseFlag)) {
 			t.Errorf("%s: not done since %v before the end", name, time.Since(last).Round(time.Millisecond))
 		}
 	}
