Read people's files in one place, and name a decider once

Cause: bounded reading and strict YAML stood in the inventory, the experiments and the plan files, and the interface of a decider in the wire and the mesh. Change: internal/strict and brain.Decider serve all of them. Measured: all tests of both as before.

--- a/brain/interface.go
+++ b/brain/interface.go
@@ -217,6 +217,24 @@
 	CauseBeyond           // turned back since the destination's processor was full
 )
 
+// Decider is what decides for one exchange: a Controller, or another to compare it
+// with. Handle's slice is valid until its next call.
+type Decider interface {
+	Handle(now time.Duration, ev Event) []Action
+}
+
+// Maker makes the decider of an exchange that starts.
+type Maker func(s Settings, seed uint64) (Decider, error)
+
+// Make is the Maker of Controllers.
+func Make(s Settings, seed uint64) (Decider, error) {
+	c, err := New(s, seed)
+	if err != nil {
+		return nil, err
+	}
+	return c, nil
+}
+
 // An Action is something that the controller wants done, in the given order.
 type Action interface{ isAction() }
 
--- a/cmd/wirehost/main.go
+++ b/cmd/wirehost/main.go
@@ -16,14 +16,8 @@
 func main() {
 	policy := flag.String("policy", "module", "module, even or direct")
 	flag.Parse()
-	mk := wire.Maker(wire.New)
-	switch *policy {
-	case "module":
-	case "even":
-		mk = func(s brain.Settings, seed uint64) (wire.Decider, error) { return mesh.Even(s, seed) }
-	case "direct":
-		mk = func(s brain.Settings, seed uint64) (wire.Decider, error) { return mesh.Direct(s, seed) }
-	default:
+	mk, ok := map[string]brain.Maker{"module": brain.Make, "even": mesh.Even, "direct": mesh.Direct}[*policy]
+	if !ok {
 		fmt.Fprintf(os.Stderr, "wirehost: -policy: %q is none of module, even and direct\n", *policy)
 		os.Exit(2)
 	}
--- a/internal/inventory/inventory.go
+++ b/internal/inventory/inventory.go
@@ -13,7 +13,6 @@
 	"io"
 	"net"
 	"net/url"
-	"os"
 	"path/filepath"
 	"slices"
 	"strconv"
@@ -24,6 +23,7 @@
 	"violetspan.example/violetspan/brain"
 	"violetspan.example/violetspan/decide/plan"
 	"violetspan.example/violetspan/internal/core"
+	"violetspan.example/violetspan/internal/strict"
 	"violetspan.example/violetspan/internal/tenant"
 )
 
@@ -56,28 +56,15 @@
 func Load(paths ...string) (*Inventory, error) {
 	r := newReader()
 	for _, path := range paths {
-		b, err := read(path)
+		b, err := strict.Read(path, maxFile)
 		if err != nil {
-			return nil, err
+			return nil, fmt.Errorf("inventory: %w", err)
 		}
 		r.parse(path, b)
 	}
 	return r.done()
 }
 
-func read(path string) ([]byte, error) {
-	f, err := os.Open(path)
-	if err != nil {
-		return nil, fmt.Errorf("inventory: %w", err)
-	}
-	defer f.Close()
-	b, err := io.ReadAll(io.LimitReader(f, maxFile+1))
-	if err != nil {
-		return nil, fmt.Errorf("inventory: %w", err)
-	}
-	return b, nil
-}
-
 // Parse reads the text of a file of the given name. Its error is Faults.
 func Parse(name string, b []byte) (*Inventory, error) {
 	r := newReader()
@@ -182,7 +169,7 @@
 }
 
 func (r *reader) bad(line int, key, why string) error {
-	return fmt.Errorf("%s:%d: key %s: %s", r.file, line, key, why)
+	return strict.Bad(r.file, line, key, why)
 }
 
 // value is one key's text and where it stands.
@@ -454,17 +441,11 @@
 // yaml reads the form that Ansible's YAML inventories have: all, children,
 // groups, hosts and their variables; a group's vars are defaults for its hosts.
 func (r *reader) yaml(b []byte) error {
-	dec := yaml.NewDecoder(bytes.NewReader(b))
-	var doc, more yaml.Node
-	if err := dec.Decode(&doc); errors.Is(err, io.EOF) {
-		return r.bad(1, "all", "missing")
-	} else if err != nil {
-		return fmt.Errorf("%s: %w", r.file, err)
-	}
-	if err := dec.Decode(&more); !errors.Is(err, io.EOF) {
-		return r.bad(max(1, more.Line), "all", "one document is wanted")
+	root, err := strict.Document(r.file, b, "all")
+	if err != nil {
+		return err
 	}
-	all, err := r.only(doc.Content[0], "all", "all")
+	all, err := r.only(root, "all", "all")
 	if err != nil {
 		return err
 	}
@@ -472,7 +453,7 @@
 	if err != nil {
 		return err
 	}
-	return r.each(children, "children", func(group string, line int, g *yaml.Node) error {
+	return strict.Each(r.file, "children", children, func(group string, line int, g *yaml.Node) error {
 		kind, ok := groups[group]
 		if !ok {
 			r.note(line, group, "none of switches, tenants, groups, classes and demands")
@@ -486,7 +467,7 @@
 func (r *reader) group(kind, group string, g *yaml.Node) error {
 	defaults := map[string]value{}
 	var hosts *yaml.Node
-	err := r.each(g, group, func(key string, line int, n *yaml.Node) (err error) {
+	err := strict.Each(r.file, group, g, func(key string, line int, n *yaml.Node) (err error) {
 		switch key {
 		case "vars":
 			defaults, err = r.vars(n, "vars", nil)
@@ -500,7 +481,7 @@
 	if err != nil {
 		return err
 	}
-	return r.each(hosts, "hosts", func(id string, line int, n *yaml.Node) error {
+	return strict.Each(r.file, "hosts", hosts, func(id string, line int, n *yaml.Node) error {
 		vals, err := r.vars(n, id, defaults)
 		if err != nil {
 			r.fault(line, err)
@@ -516,7 +497,7 @@
 	for key, v := range defaults {
 		vals[key] = v
 	}
-	err := r.each(n, name, func(key string, line int, v *yaml.Node) error {
+	err := strict.Each(r.file, name, n, func(key string, line int, v *yaml.Node) error {
 		if v.Kind != yaml.ScalarNode {
 			return r.bad(line, key, "one value is wanted")
 		}
@@ -528,7 +509,7 @@
 
 // only returns the one key that a mapping may have.
 func (r *reader) only(n *yaml.Node, name, want string) (found *yaml.Node, err error) {
-	err = r.each(n, name, func(key string, line int, v *yaml.Node) error {
+	err = strict.Each(r.file, name, n, func(key string, line int, v *yaml.Node) error {
 		if key != want {
 			return r.bad(line, key, "not known here; "+want+" is")
 		}
@@ -540,28 +521,3 @@
 	}
 	return found, err
 }
-
-// each walks a mapping; an empty node is an empty one.
-func (r *reader) each(n *yaml.Node, name string, do func(key string, line int, v *yaml.Node) error) error {
-	if n == nil || n.Kind == yaml.ScalarNode && n.Tag == "!!null" {
-		return nil
-	}
-	if n.Kind != yaml.MappingNode {
-		return r.bad(n.Line, name, "a mapping is wanted")
-	}
-	seen := map[string]bool{}
-	for i := 0; i+1 < len(n.Content); i += 2 {
-		key, v := n.Content[i], n.Content[i+1]
-		if key.Kind != yaml.ScalarNode || seen[key.Value] {
-			return r.bad(key.Line, key.Value, "no plain key, or one that stands twice")
-		}
-		seen[key.Value] = true
-		if v.Kind == yaml.AliasNode {
-			v = v.Alias
-		}
-		if err := do(key.Value, key.Line, v); err != nil {
-			return err
-		}
-	}
-	return nil
-}
--- a/internal/lab/experiment.go
+++ b/internal/lab/experiment.go
@@ -1,17 +1,15 @@
 package lab
 
 import (
-	"bytes"
-	"errors"
 	"fmt"
-	"io"
 	"math"
-	"os"
 	"slices"
 	"strconv"
 	"strings"
 
 	"go.yaml.in/yaml/v3"
+
+	"violetspan.example/violetspan/internal/strict"
 )
 
 // Experiment is what a file asks for. Each size and seed is one installation and one
@@ -46,12 +44,7 @@
 
 // Load reads an experiment's file.
 func Load(path string) (*Experiment, error) {
-	f, err := os.Open(path)
-	if err != nil {
-		return nil, fmt.Errorf("experiment: %w", err)
-	}
-	defer f.Close()
-	b, err := io.ReadAll(io.LimitReader(f, maxFile+1))
+	b, err := strict.Read(path, maxFile)
 	if err != nil {
 		return nil, fmt.Errorf("experiment: %w", err)
 	}
@@ -61,25 +54,12 @@
 // Parse reads an experiment in YAML. An error names file, line and key.
 func Parse(name string, b []byte) (*Experiment, error) {
 	bad := func(line int, key, format string, args ...any) error {
-		return fmt.Errorf("%s:%d: key %s: %s", name, max(1, line), key, fmt.Sprintf(format, args...))
-	}
-	if len(b) > maxFile {
-		return nil, bad(1, "experiment", "longer than %d bytes", maxFile)
+		return strict.Bad(name, line, key, fmt.Sprintf(format, args...))
 	}
 	e := Default()
-	var doc, more yaml.Node
-	dec := yaml.NewDecoder(bytes.NewReader(b))
-	if err := dec.Decode(&doc); errors.Is(err, io.EOF) {
-		return nil, bad(1, "name", "the file is empty")
-	} else if err != nil {
-		return nil, fmt.Errorf("%s: %w", name, err)
-	}
-	if err := dec.Decode(&more); !errors.Is(err, io.EOF) {
-		return nil, bad(max(1, more.Line), "name", "one document is wanted")
-	}
-	root := doc.Content[0]
-	if root.Kind != yaml.MappingNode {
-		return nil, bad(root.Line, "name", "a mapping is wanted")
+	root, err := strict.Document(name, b, "name")
+	if err != nil {
+		return nil, err
 	}
 	num := func(v *yaml.Node, key string, low, high float64, to *float64) error {
 		x, err := strconv.ParseFloat(v.Value, 64)
@@ -97,15 +77,7 @@
 		*to = x
 		return nil
 	}
-	seen := map[string]bool{}
-	for i := 0; i+1 < len(root.Content); i += 2 {
-		k, v := root.Content[i], root.Content[i+1]
-		key := k.Value
-		if seen[key] {
-			return nil, bad(k.Line, key, "stands twice")
-		}
-		seen[key] = true
-		var err error
+	err = strict.Each(name, "name", root, func(key string, line int, v *yaml.Node) (err error) {
 		switch key {
 		case "name":
 			if v.Kind != yaml.ScalarNode || v.Value == "" || strings.ContainsAny(v.Value, "/\\\n\x00") {
@@ -128,7 +100,7 @@
 			err = whole(v, key, 0, maxTrouble, &e.Troubles)
 		case "sizes", "policies":
 			if v.Kind != yaml.SequenceNode || len(v.Content) == 0 || len(v.Content) > 16 {
-				return nil, bad(v.Line, key, "a list of 1 to 16 is wanted")
+				return bad(v.Line, key, "a list of 1 to 16 is wanted")
 			}
 			e.clear(key)
 			for _, n := range v.Content {
@@ -146,15 +118,16 @@
 					e.Policies = append(e.Policies, n.Value)
 				}
 				if err != nil {
-					return nil, err
+					return err
 				}
 			}
 		default:
-			err = bad(k.Line, key, "not known")
-		}
-		if err != nil {
-			return nil, err
+			err = bad(line, key, "not known")
 		}
+		return err
+	})
+	if err != nil {
+		return nil, err
 	}
 	return e, nil
 }
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -1,7 +1,7 @@
 // Package mesh emulates, on a virtual clock, a mesh of exchanges that call
 // controllers serve: trunk groups used from both ends, processors with one line,
 // callers that dial again, a list that is seconds late. It hosts the real
-// brain.Controller, one an exchange, or any other Decider. One seed decides a run:
+// brain.Controller, one an exchange, or any other decider. One seed decides a run:
 // the same Config gives the same trace hash.
 //
 // It is a model, and simpler than the world: every link has the same delay law, a
@@ -23,24 +23,6 @@
 	"violetspan.example/violetspan/brain"
 )
 
-// Decider is what decides for one exchange. Handle's slice is used up before the
-// next call.
-type Decider interface {
-	Handle(now time.Duration, ev brain.Event) []brain.Action
-}
-
-// Maker makes the decider of an exchange that starts.
-type Maker func(s brain.Settings, seed uint64) (Decider, error)
-
-// Module makes the project's own.
-func Module(s brain.Settings, seed uint64) (Decider, error) {
-	c, err := brain.New(s, seed)
-	if err != nil {
-		return nil, err
-	}
-	return c, nil
-}
-
 // Class is a class of call.
 type Class struct {
 	Name      string
@@ -97,7 +79,7 @@
 	ColdShare float64
 	ColdRamp  time.Duration
 	Troubles  []Trouble
-	Make      Maker
+	Make      brain.Maker
 	// Tell is called for each exchange once its decider has been told of the list,
 	// also after a restart: for what reaches a decider by other ways.
 	Tell func(exchange int, now time.Duration) []brain.Event
@@ -162,7 +144,7 @@
 type exchange struct {
 	no      int
 	proc    processor
-	d       Decider
+	d       brain.Decider
 	groups  []*group // by far exchange; nil: none
 	tries   map[string]*try
 	up      bool
--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -19,7 +19,7 @@
 // a plan that the traffic misses.
 func small(n int, load float64, seed uint64) Config {
 	r := rand.New(rand.NewPCG(seed, 99))
-	c := Config{Seed: seed, Length: 45 * time.Second, Exchanges: n, Make: Module,
+	c := Config{Seed: seed, Length: 45 * time.Second, Exchanges: n, Make: brain.Make,
 		Classes: []Class{{"space-check", 1, 11400 * time.Millisecond, 2 * time.Second, 9 * time.Second, 1, 0.25},
 			{"shuttle-video", 4, 18200 * time.Millisecond, 2500 * time.Millisecond, 9 * time.Second, 2, 0.1}},
 		Work: Work{Look: 0.2, Answer: 0.35, Release: 0.35, Reject: 0.2, Repeat: 0.45},
@@ -49,7 +49,7 @@
 // One seed decides a run, and circuits add up after every event, in fair weather
 // and in foul, for every decider.
 func TestSameSeedSameTrace(t *testing.T) {
-	for name, mk := range map[string]Maker{"module": Module, "even": Even, "direct": Direct} {
+	for name, mk := range map[string]brain.Maker{"module": brain.Make, "even": Even, "direct": Direct} {
 		c := small(5, 1.15, 4)
 		c.Make, c.Check, c.Length = mk, true, 18*time.Second
 		c.Troubles = []Trouble{{From: 4 * time.Second, To: 12 * time.Second, Exchanges: []int{1, 2}, Slow: 2.5},
@@ -77,7 +77,7 @@
 // What callers want is the same whatever decides: pairs of runs are paired.
 func TestArrivalsArePaired(t *testing.T) {
 	var want []string
-	for i, mk := range []Maker{Module, Even, Direct} {
+	for i, mk := range []brain.Maker{brain.Make, Even, Direct} {
 		c := small(5, 1.1, 9)
 		c.Make = mk
 		var got []string
@@ -224,7 +224,7 @@
 		},
 	} {
 		c := small(5, 1.5, 1)
-		c.Make = func(s brain.Settings, seed uint64) (Decider, error) {
+		c.Make = func(s brain.Settings, seed uint64) (brain.Decider, error) {
 			p := newPlain(s, seed, true)
 			return odder{p, odd}, nil
 		}
--- a/internal/mesh/policy.go
+++ b/internal/mesh/policy.go
@@ -31,10 +31,12 @@
 }
 
 // Even makes a Plain that uses tandems.
-func Even(s brain.Settings, seed uint64) (Decider, error) { return newPlain(s, seed, true), nil }
+func Even(s brain.Settings, seed uint64) (brain.Decider, error) { return newPlain(s, seed, true), nil }
 
 // Direct makes a Plain that never does.
-func Direct(s brain.Settings, seed uint64) (Decider, error) { return newPlain(s, seed, false), nil }
+func Direct(s brain.Settings, seed uint64) (brain.Decider, error) {
+	return newPlain(s, seed, false), nil
+}
 
 func newPlain(s brain.Settings, seed uint64, round bool) *Plain {
 	return &Plain{set: s, rng: rand.New(rand.NewPCG(seed, 77)), round: round, free: map[string]int{}, calls: map[string]*plainCall{}}
--- a/internal/planner/file.go
+++ b/internal/planner/file.go
@@ -8,7 +8,6 @@
 	"encoding/hex"
 	"errors"
 	"fmt"
-	"io"
 	"os"
 	"path/filepath"
 	"time"
@@ -17,6 +16,7 @@
 
 	"violetspan.example/violetspan/decide/plan"
 	"violetspan.example/violetspan/decide/replan"
+	"violetspan.example/violetspan/internal/strict"
 )
 
 // File is a plan as it is kept: the answer with the problem that it answers.
@@ -71,12 +71,7 @@
 
 // Read reads a plan and verifies it. An error names the file and the key.
 func Read(path string) (*File, error) {
-	in, err := os.Open(path)
-	if err != nil {
-		return nil, fmt.Errorf("plan: %w", err)
-	}
-	defer in.Close()
-	b, err := io.ReadAll(io.LimitReader(in, maxFile+1))
+	b, err := strict.Read(path, maxFile)
 	if err != nil {
 		return nil, fmt.Errorf("plan: %w", err)
 	}
@@ -86,9 +81,6 @@
 // Parse reads the text of a plan's file.
 func Parse(name string, b []byte) (*File, error) {
 	bad := func(key, why string) error { return fmt.Errorf("%s: key %s: %s", name, key, why) }
-	if len(b) > maxFile {
-		return nil, bad("format", fmt.Sprintf("longer than %d bytes", maxFile))
-	}
 	f := &File{}
 	if err := api.Unmarshal(b, f); err != nil {
 		return nil, fmt.Errorf("%s: %w", name, err)
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -17,27 +17,10 @@
 	"violetspan.example/violetspan/brain"
 )
 
-// Decider is what hosts an instance's decisions.
-type Decider interface {
-	Handle(now time.Duration, ev brain.Event) []brain.Action
-}
-
-// Maker makes the decider of a fresh instance.
-type Maker func(s brain.Settings, seed uint64) (Decider, error)
-
-// New makes deciders of the module.
-func New(s brain.Settings, seed uint64) (Decider, error) {
-	c, err := brain.New(s, seed)
-	if err != nil {
-		return nil, err
-	}
-	return c, nil
-}
-
 // instance is one hosted controller and what only the wire knows of it.
 type instance struct {
 	name    string
-	d       Decider
+	d       brain.Decider
 	columns []string
 	advise  bool // callers hear when to dial again
 	classes map[string]int
@@ -48,7 +31,7 @@
 	in    *bufio.Reader
 	out   *bufio.Writer
 	errs  io.Writer
-	make  Maker
+	make  brain.Maker
 	line  int // number of the line being read
 	now   time.Duration
 	insts map[string]*instance
@@ -75,7 +58,7 @@
 
 // Serve hosts instances on the wire until the input ends. An error names the
 // line and field that could not be read; nothing is written for its batch.
-func Serve(in io.Reader, out, errs io.Writer, mk Maker) error {
+func Serve(in io.Reader, out, errs io.Writer, mk brain.Maker) error {
 	h := &host{in: bufio.NewReaderSize(in, 1<<20), out: bufio.NewWriterSize(out, 1<<18), errs: errs, make: mk,
 		insts: map[string]*instance{}}
 	for {
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -24,7 +24,7 @@
 func serve(t *testing.T, in string) (out string, err error) {
 	t.Helper()
 	var b bytes.Buffer
-	err = Serve(strings.NewReader(in), &b, io.Discard, New)
+	err = Serve(strings.NewReader(in), &b, io.Discard, brain.Make)
 	return b.String(), err
 }
 
@@ -133,7 +133,7 @@
 
 func TestPanicIsReported(t *testing.T) {
 	var out bytes.Buffer
-	mk := func(brain.Settings, uint64) (Decider, error) { return broken{}, nil }
+	mk := func(brain.Settings, uint64) (brain.Decider, error) { return broken{}, nil }
 	if err := Serve(strings.NewReader("SYNC 1\n"+launch+lists+"FLUSH\n"), &out, io.Discard, mk); err != nil {
 		t.Fatal(err)
 	}
@@ -154,7 +154,7 @@
 }
 
 func TestEveryActionIsWritten(t *testing.T) {
-	mk := func(brain.Settings, uint64) (Decider, error) {
+	mk := func(brain.Settings, uint64) (brain.Decider, error) {
 		return &recorder{acts: []brain.Action{
 			brain.Send{Call: "c", Host: "h", Timeout: 80 * time.Millisecond}, brain.Refuse{Call: "c"},
 			brain.Fail{Call: "c"}, brain.Cancel{Call: "c", Attempt: 2},
@@ -174,7 +174,7 @@
 
 // A refusal says when to dial again only where the settings allow it.
 func TestRefusalsAdvise(t *testing.T) {
-	mk := func(brain.Settings, uint64) (Decider, error) {
+	mk := func(brain.Settings, uint64) (brain.Decider, error) {
 		return &recorder{acts: []brain.Action{brain.Refuse{Call: "c", After: 1500 * time.Millisecond}}}, nil
 	}
 	for setting, want := range map[string]string{
@@ -196,7 +196,7 @@
 
 func TestEventsAndSettingsAreTranslated(t *testing.T) {
 	var rec recorder
-	mk := func(s brain.Settings, _ uint64) (Decider, error) { rec.s = s; return &rec, nil }
+	mk := func(s brain.Settings, _ uint64) (brain.Decider, error) { rec.s = s; return &rec, nil }
 	in := "SYNC 1\n" + launch +
 		"SETTLED proxy-0 c 5.25 shed 0 h 8003 1 3,20,-1,7.5\n" +
 		"SETTLED proxy-0 c 5 shed 0 h 18 1 -\nSETTLED proxy-0 c 5 app_error 0 h 4 0 -\n" +
