--- a/decide/duty/duty.go
+++ b/decide/duty/duty.go
@@ -24,6 +24,7 @@
 	MaxMembers = 64
 	MaxDuties  = 4096
 	MaxName    = 128
+	MaxLoad    = 1_000_000
 )
 
 // Spec is what is set of a duty.
@@ -31,13 +32,27 @@
 	Name     string
 	Period   time.Duration // 100 ms or more
 	Deadline time.Duration // a run that takes longer is stopped; 0: the period
-	Load     float64       // of one run, against other duties; 0 counts as 1
+	Load     int           // of one run, against other duties; 0 counts as 1
 	MakeUp   bool          // missed periods are made up, oldest first, up to MostMissed
 	// MostMissed bounds what is made up; older periods are skipped. 0: 16.
 	MostMissed int
 	Sink       string // where the fence is checked; "none": nowhere, it may be done twice
 }
 
+// filled is a specification with its defaults.
+func (s Spec) filled() Spec {
+	if s.Load == 0 {
+		s.Load = 1
+	}
+	if s.Deadline == 0 {
+		s.Deadline = s.Period
+	}
+	if s.MostMissed == 0 {
+		s.MostMissed = 16
+	}
+	return s
+}
+
 // Config is set once for all instances of a log.
 type Config struct {
 	Lease   time.Duration // an instance that is not heard for so long loses its duties
@@ -101,7 +116,7 @@
 	incarnation uint64
 	until       time.Duration // its lease, in the log's time
 	live        bool
-	load        float64
+	load        int // sum of its duties': whole, so that no order of sums matters
 }
 
 type task struct {
@@ -196,19 +211,11 @@
 }
 
 func (s *State) register(spec Spec) error {
-	if spec.Name == "" || len(spec.Name) > MaxName || spec.Period < 100*time.Millisecond || !(spec.Load >= 0 && spec.Load <= 1e9) ||
+	if spec.Name == "" || len(spec.Name) > MaxName || spec.Period < 100*time.Millisecond || spec.Load < 0 || spec.Load > MaxLoad ||
 		spec.Deadline < 0 || spec.MostMissed < 0 {
 		return fmt.Errorf("%w: %+v", ErrSpec, spec)
 	}
-	if spec.Load == 0 {
-		spec.Load = 1
-	}
-	if spec.Deadline == 0 {
-		spec.Deadline = spec.Period
-	}
-	if spec.MostMissed == 0 {
-		spec.MostMissed = 16
-	}
+	spec = spec.filled()
 	t := s.duties[spec.Name]
 	if t == nil {
 		if len(s.duties) >= MaxDuties {
@@ -433,6 +440,18 @@
 	return out
 }
 
+// Missing returns the registrations that bring the state to what is wanted. Duties that
+// are not wanted stay: another instance may have set them.
+func (s *State) Missing(want []Spec) []Register {
+	var out []Register
+	for _, w := range want {
+		if t := s.duties[w.Name]; t == nil || t.spec != w.filled() {
+			out = append(out, Register{w})
+		}
+	}
+	return out
+}
+
 // Holding is a duty as it stands.
 type Holding struct {
 	Spec  Spec
@@ -457,7 +476,7 @@
 	Member      string
 	Incarnation uint64
 	Live        bool
-	Load        float64
+	Load        int
 }
 
 // Members returns all instances by name.
--- a/internal/cluster/host.go
+++ b/internal/cluster/host.go
@@ -53,10 +53,7 @@
 	redialMin = 50 * time.Millisecond
 	redialMax = time.Second
 	maxInConn = 4 * duty.MaxMembers
-	// A run that ignores its context is given up after so many leases. Its place in
-	// the pool is another's then, and its duty rests here until it returns.
-	hangLeases = 3
-	exitWait   = 2 * time.Second // for runs, at the end
+	exitWait  = 2 * time.Second // for runs, at the end
 )
 
 // Host runs a Member: its goroutine, clock, sockets and runs. Calls never wait for it.
@@ -87,10 +84,7 @@
 }
 
 // run is one run of a duty.
-type run struct {
-	stop    context.CancelFunc
-	stopped time.Duration // when it was told to stop; 0: it was not
-}
+type run struct{ stop context.CancelFunc }
 
 type result struct {
 	c   duty.Claim
@@ -239,7 +233,9 @@
 			h.propose(duty.Join{Member: h.cfg.Name, Incarnation: h.life})
 		}
 		if h.m.Leads() {
-			h.register()
+			for _, r := range h.m.State().Missing(h.cfg.Duties) {
+				h.propose(r)
+			}
 		}
 	}
 	if n%200 == 0 { // a certificate that was renewed, or revoked
@@ -249,19 +245,6 @@
 	}
 }
 
-// register sets the duties of the configuration that the log does not have so.
-func (h *Host) register() {
-	have := map[string]duty.Spec{}
-	for _, d := range h.m.State().Duties() {
-		have[d.Spec.Name] = d.Spec
-	}
-	for _, want := range h.cfg.Duties {
-		if got, ok := have[want.Name]; !ok || got.Period != want.Period || got.MakeUp != want.MakeUp {
-			h.propose(duty.Register{Spec: want})
-		}
-	}
-}
-
 // propose asks for an entry; what is refused or lost is asked for again by whoever
 // still misses it.
 func (h *Host) propose(e duty.Entry) {
@@ -340,19 +323,14 @@
 		return nil // what the state says is of an earlier life
 	}
 	now, state := h.steady(), h.m.State()
-	for _, c := range h.agent.Stop(now, state) {
-		r := h.running[c]
-		switch {
-		case r == nil:
-		case r.stopped == 0:
-			r.stop()
-			r.stopped = max(now, 1)
-		case now >= r.stopped+hangLeases*h.cfg.Lease:
-			h.counts.Hung++
-			delete(h.running, c)
-			h.log.Error("duty hangs", "duty", c.Duty, "period", c.Period, "epoch", c.Epoch)
-			h.agent.Hung(c)
-		}
+	stop, hung := h.agent.Stop(now, state)
+	for _, c := range stop {
+		h.running[c].stop()
+	}
+	for _, c := range hung {
+		h.counts.Hung++
+		delete(h.running, c)
+		h.log.Error("duty hangs", "duty", c.Duty, "period", c.Period, "epoch", c.Epoch)
 	}
 	for _, c := range h.agent.Again(now, state) {
 		h.counts.Again++
