--- a/internal/planner/loop.go
+++ b/internal/planner/loop.go
@@ -103,6 +103,9 @@
 		}
 		l.p = replan.New(s, version)
 	}
+	if l.here == "" {
+		l.log.Warn("no switch of the inventory is the own exchange: a plan has nothing to say here", "exchange", l.set.Here)
+	}
 	l.act(l.p.Inventory(l.now(), &p))
 	if l.set.File == "" {
 		return nil
