--- a/decide/plan/interior.go
+++ b/decide/plan/interior.go
@@ -53,7 +53,7 @@
 // Centrality: how many further corrections a step may take, and how much longer
 // each tries to make it.
 const (
-	correctors = 4
+	correctors = 3
 	reachOut   = 0.3
 )
 
