Count answers, ends, dials, releases and polls, and log why

Change: internal/metrics, scraped at /v1/metrics and logged every 5 s and at a stop; the core tells an Observer of final answers, ends with their reason and attempts; the first failed dial of a series is a warning.

--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -11,6 +11,8 @@
 	"strings"
 
 	jsoniter "github.com/json-iterator/go"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"violetspan.example/violetspan/brain"
 	"violetspan.example/violetspan/internal/core"
@@ -26,6 +28,7 @@
 	Reload     func() error        // reads the inventory anew, all or nothing
 	Disconnect func(tenant string) // closes a deleted tenant's connections
 	Log        *slog.Logger
+	Metrics    prometheus.Gatherer // what GET /v1/metrics gives
 }
 
 // Status is how the proxy is.
@@ -73,6 +76,7 @@
 	api.HandleFunc("GET /v1/status", s.serve(func(*http.Request) (int, any, error) {
 		return http.StatusOK, s.Status(), nil
 	}))
+	api.Handle("GET /v1/metrics", promhttp.HandlerFor(s.Metrics, promhttp.HandlerOpts{}))
 	api.HandleFunc("GET /v1/switches", s.serve(s.switches))
 	api.HandleFunc("POST /v1/inventory/reload", s.serve(func(*http.Request) (int, any, error) {
 		if err := s.Reload(); err != nil {
--- a/internal/core/call.go
+++ b/internal/core/call.go
@@ -36,6 +36,7 @@
 	answer      bool
 	description []byte
 	end         End
+	why         EndReason // of the end of a call that stood
 }
 
 func newCall(c *Core, s *SetUp, from Caller) *call {
@@ -77,14 +78,18 @@
 			send = a
 		case brain.Refuse:
 			k.caller.Refuse(k.ID, a.After)
+			c.opt.Observer.FinalAnswer(AnswerRefused)
 			return
 		case brain.Fail:
 			k.caller.Fail(k.ID)
+			c.opt.Observer.FinalAnswer(AnswerFailed)
 			return
 		case left:
+			c.opt.Observer.FinalAnswer(AnswerNotOwed)
 			return
 		case overdue:
 			k.caller.Fail(k.ID)
+			c.opt.Observer.FinalAnswer(AnswerOverdue)
 			return
 		default:
 			continue // a cancel that crossed its attempt's end
@@ -106,6 +111,7 @@
 			}
 			c.tell(brain.Withdrawn{Call: k.name})
 			c.settle(k, send, sent, End{Result: brain.Cancelled}, true)
+			c.opt.Observer.FinalAnswer(AnswerNotOwed)
 			return
 		case errors.Is(err, ErrNotReached):
 			c.settle(k, send, sent, End{Result: brain.NotReached}, false)
@@ -129,20 +135,28 @@
 			if err := k.caller.Answer(k.ID, r.description); err != nil {
 				l.Release(k.ID)
 				c.settle(k, send, sent, End{Result: brain.Cancelled}, true)
+				c.opt.Observer.FinalAnswer(AnswerNotDelivered)
+				c.opt.Observer.CallOver(EndNotDelivered)
 				return
 			}
 			c.paid(k)
+			c.opt.Observer.FinalAnswer(AnswerStands)
+			c.opt.Observer.Attempt(brain.Ended)
 
 			// The call stands until its switch ends it or its caller hangs up.
 			select {
 			case r := <-k.news:
 				c.settle(k, send, sent, r.end, true)
 				k.caller.Release(k.ID, r.end.Result != brain.Ended)
+				c.opt.Observer.CallOver(r.why)
 			case <-k.ctx.Done():
+				why := EndLeftToNext
 				if !c.isShut(k) {
+					why = EndHungUp
 					l.Release(k.ID)
 				}
 				c.settle(k, send, sent, End{Result: brain.Cancelled}, true)
+				c.opt.Observer.CallOver(why)
 			}
 			return
 		}
@@ -286,6 +300,7 @@
 	}
 	c.mu.Unlock()
 	if err != nil {
+		c.opt.Observer.SetUpHeldBack()
 		c.log.Warn("set-up held back", "call", k.name, "switch", send.Host, "why", err)
 		return nil, ErrNotSent
 	}
@@ -299,6 +314,9 @@
 // settle tells the module how an attempt ended.
 func (c *Core) settle(k *call, send brain.Send, sent time.Time, e End, over bool) {
 	now := time.Now()
+	if !over {
+		c.opt.Observer.Attempt(e.Result)
+	}
 	switch e.Result {
 	case brain.TimedOut, brain.Reset, brain.Cancelled:
 		k.restTill = now.Add(c.opt.Settings.Release)
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -111,6 +111,7 @@
 	// through this proxy before its restart, and its caller must hear of it.
 	Orphan   func(id uint64, cut bool)
 	MaxCalls int
+	Observer Observer // nil: nobody counts
 	// Seen, if set, is told of each call that is taken from a caller of this exchange.
 	// It must not block.
 	Seen func(s *SetUp)
@@ -173,6 +174,9 @@
 	if opt.Log == nil {
 		opt.Log = slog.New(slog.DiscardHandler)
 	}
+	if opt.Observer == nil {
+		opt.Observer = unobserved{}
+	}
 	if opt.MaxCalls <= 0 {
 		opt.MaxCalls = 8192
 	}
@@ -291,7 +295,7 @@
 	}
 	if old != nil && old.Addr == m.Addr {
 		if !old.Started.Equal(m.Started) {
-			c.cutAll(m.ID) // it was started anew: what stood there before is cut
+			c.cutAll(m.ID, EndRestarted) // what stood there before is cut
 		}
 		old.Member = m
 		return true
@@ -323,7 +327,7 @@
 		c.mu.Lock()
 		defer c.mu.Unlock()
 		if c.members[m.ID] == nil {
-			c.cutAll(m.ID)
+			c.cutAll(m.ID, EndRemoved)
 		}
 		c.closeLink(m)
 	})
@@ -500,7 +504,11 @@
 	_, over := c.ended[id]
 	known := k != nil || over
 	if k != nil && k.out == host {
-		k.push(reply{end: e})
+		why := EndReleased
+		if e.Result != brain.Ended {
+			why = EndCutBySwitch
+		}
+		k.push(reply{end: e, why: why})
 	}
 	c.mu.Unlock()
 	if !known && c.opt.Orphan != nil && (e.Result == brain.Ended || e.Result == brain.Reset) {
@@ -517,19 +525,20 @@
 func (c *Core) Dead(host string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.cutAll(host)
+	c.cutAll(host, EndProcessGone)
 }
 
-func (c *Core) cutAll(host string) {
+// cutAll ends the calls that stand through a switch. The lock is held.
+func (c *Core) cutAll(host string, why EndReason) {
 	n := 0
 	for _, k := range c.calls {
 		if k.out == host && k.answered {
-			k.push(reply{end: End{Result: brain.Reset}})
+			k.push(reply{end: End{Result: brain.Reset}, why: why})
 			n++
 		}
 	}
 	if n > 0 {
-		c.log.Warn("standing calls cut with their switch", "switch", host, "calls", n)
+		c.log.Warn("standing calls cut with their switch", "switch", host, "calls", n, "why", why.String())
 	}
 }
 
--- a/internal/platform/caller.go
+++ b/internal/platform/caller.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"violetspan.example/violetspan/internal/core"
+	"violetspan.example/violetspan/internal/metrics"
 	"violetspan.example/violetspan/internal/sig"
 )
 
@@ -52,7 +53,7 @@
 			if err = nil; c.owes() || asked != c.hasAsked() {
 				continue
 			}
-			err = io.EOF // closed for its silence: no more news than an end
+			err = errSilent
 		}
 		if err == nil {
 			m, err = finish(c.Conn, in, f.rest)
@@ -61,10 +62,12 @@
 			err = c.take(&m, time.Now())
 		}
 	}
-	if !errors.Is(err, io.EOF) && !errors.Is(err, net.ErrClosed) {
-		f.Log.Warn("connection from a caller broke", "addr", c.RemoteAddr(), "error", err)
-	}
 	f.mu.Lock()
+	why := c.closedWhy(err)
+	f.Count.CallerConnsClosed.WithLabelValues(why).Inc()
+	if why == metrics.CallerBroken || why == metrics.CallerMalformed {
+		f.Log.Warn("connection from a caller broke", "addr", c.RemoteAddr(), "error", err, "open", len(c.open))
+	}
 	delete(f.conns, c)
 	open := c.open
 	c.open = map[uint64]bool{}
@@ -83,6 +86,25 @@
 	f.ended(c)
 }
 
+var errSilent = errors.New("silent for too long")
+
+// closedWhy is the metrics label of a connection's end. The front's lock is held.
+func (c *conn) closedWhy(err error) string {
+	switch {
+	case c.evicted:
+		return metrics.CallerEvicted
+	case errors.Is(err, errSilent):
+		return metrics.CallerSilent
+	case errors.Is(err, sig.ErrMalformed):
+		return metrics.CallerMalformed
+	case errors.Is(err, io.EOF):
+		return metrics.CallerClosed
+	case errors.Is(err, net.ErrClosed):
+		return metrics.CallerDrained
+	}
+	return metrics.CallerBroken
+}
+
 func (c *conn) hasAsked() bool {
 	c.front.mu.Lock()
 	defer c.front.mu.Unlock()
--- a/internal/platform/channel.go
+++ b/internal/platform/channel.go
@@ -16,6 +16,7 @@
 
 	"violetspan.example/violetspan/brain"
 	"violetspan.example/violetspan/internal/core"
+	"violetspan.example/violetspan/internal/metrics"
 )
 
 // A channel may stop and stay open. What it has to tell then counts as told some
@@ -31,9 +32,10 @@
 
 // Channel follows the command channel's list of switches.
 type Channel struct {
-	Addr string
-	List func(core.List)
-	Log  *slog.Logger
+	Addr  string
+	List  func(core.List)
+	Log   *slog.Logger
+	Count *metrics.Set
 
 	cursor int64 // the last event taken; the follower's own
 	mu     sync.Mutex
@@ -42,8 +44,8 @@
 }
 
 // NewChannel makes a channel that List hears of.
-func NewChannel(addr string, list func(core.List), log *slog.Logger) *Channel {
-	return &Channel{Addr: addr, List: list, Log: log, stop: func() {}}
+func NewChannel(addr string, list func(core.List), log *slog.Logger, count *metrics.Set) *Channel {
+	return &Channel{Addr: addr, List: list, Log: log, Count: count, stop: func() {}}
 }
 
 // Events are events in the channel's form, read and checked.
@@ -169,6 +171,8 @@
 		if err == nil && c.cursor == had && time.Since(asked) < pollBlock/2 {
 			err = errEmpty // asked again at once, it would be asked without end
 		}
+		moved := c.hasMoved()
+		c.Count.Polls.WithLabelValues(pollResult(err, c.cursor > had, moved)).Inc()
 		if err == nil {
 			gap = channelFirst
 			continue
@@ -176,7 +180,7 @@
 		if ctx.Err() != nil {
 			break
 		}
-		if c.hasMoved() {
+		if moved {
 			gap = channelFirst
 			continue
 		}
@@ -192,6 +196,21 @@
 	return nil
 }
 
+// pollResult is the metrics label of a poll.
+func pollResult(err error, news, moved bool) string {
+	switch {
+	case news:
+		return metrics.PollEvents
+	case moved:
+		return metrics.PollMoved
+	case err == nil || errors.Is(err, errEmpty):
+		return metrics.PollEmpty
+	case errors.Is(err, context.DeadlineExceeded):
+		return metrics.PollTimeout
+	}
+	return metrics.PollFailed
+}
+
 func (c *Channel) poll(ctx context.Context, client *http.Client) error {
 	addr, ctx, cancel := c.next(ctx)
 	defer cancel()
--- a/internal/platform/front.go
+++ b/internal/platform/front.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"violetspan.example/violetspan/internal/core"
+	"violetspan.example/violetspan/internal/metrics"
 )
 
 // Calls is the core, as a front of callers sees it.
@@ -37,6 +38,7 @@
 	MaxConns int
 	MaxOpen  int // set-ups open at once
 	Log      *slog.Logger
+	Count    *metrics.Set
 
 	silent, idle, rest time.Duration
 
@@ -51,8 +53,8 @@
 }
 
 // NewFront makes a front. Its Calls may be set later, but before Serve.
-func NewFront(form Form, maxConns, maxOpen int, log *slog.Logger) *Front {
-	return &Front{Form: form, MaxConns: maxConns, MaxOpen: maxOpen, Log: log,
+func NewFront(form Form, maxConns, maxOpen int, log *slog.Logger, count *metrics.Set) *Front {
+	return &Front{Form: form, MaxConns: maxConns, MaxOpen: maxOpen, Log: log, Count: count,
 		silent: callerSilent, idle: callerIdle, rest: callerRest,
 		conns: map[*conn]bool{}, owner: map[uint64]*conn{}, partings: map[uint64]*parting{}}
 }
@@ -88,6 +90,7 @@
 		out := f.leastMissed()
 		if out == nil {
 			f.Log.Warn("too many connections from callers, all with calls", "limit", f.MaxConns)
+			f.Count.CallerConnsClosed.WithLabelValues(metrics.CallerNoRoom).Inc()
 			return false
 		}
 		delete(f.conns, out) // its reader finds it closed and does the rest
--- a/internal/platform/front_test.go
+++ b/internal/platform/front_test.go
@@ -19,6 +19,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"violetspan.example/violetspan/internal/core"
+	"violetspan.example/violetspan/internal/metrics"
 	"violetspan.example/violetspan/internal/sig"
 )
 
@@ -36,7 +37,7 @@
 }
 
 func serveFront(t *testing.T, conns, open int, silent, rest time.Duration) (*Front, func() net.Conn) {
-	f := NewFront(testForm, conns, open, slog.New(slog.DiscardHandler))
+	f := NewFront(testForm, conns, open, slog.New(slog.DiscardHandler), metrics.New())
 	f.Calls, f.silent, f.rest = make(offers, 1000), silent, rest
 	ln, err := Listen(t.Context(), "127.0.0.1:0")
 	if err != nil {
@@ -242,7 +243,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	f := NewFront(testForm, 8, 8, slog.New(slog.DiscardHandler))
+	f := NewFront(testForm, 8, 8, slog.New(slog.DiscardHandler), metrics.New())
 	f.Calls = make(offers, 1)
 	nc := &mute{sends: b, events: make(chan string, 4)}
 	c := newConn(f, nc, time.Now())
@@ -286,7 +287,7 @@
 	defer srv.Close()
 	ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
 	defer cancel()
-	c := NewChannel(srv.Listener.Addr().String(), nil, slog.New(slog.DiscardHandler))
+	c := NewChannel(srv.Listener.Addr().String(), nil, slog.New(slog.DiscardHandler), metrics.New())
 	if err := c.Follow(ctx); err != nil || asked.Load() == 0 || asked.Load() > 20 {
 		t.Errorf("asked %d times, %v", asked.Load(), err)
 	}
--- a/internal/platform/parting.go
+++ b/internal/platform/parting.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"time"
 
+	"violetspan.example/violetspan/internal/metrics"
 	"violetspan.example/violetspan/internal/sig"
 )
 
@@ -80,6 +81,7 @@
 	return func() {
 		m := releaseOf(p.id, p.cut)
 		err := c.send(&m)
+		f.Count.Releases.WithLabelValues(metrics.ReleaseSent).Inc()
 		f.mu.Lock()
 		defer f.mu.Unlock()
 		if p.out = false; f.partings[p.id] != p {
@@ -107,6 +109,7 @@
 		f.drop(p)
 		return
 	}
+	f.Count.Releases.WithLabelValues(metrics.ReleaseRepeated).Inc()
 	f.wg.Go(f.sendOn(p, f.pick(p.on)))
 }
 
@@ -130,8 +133,10 @@
 	switch {
 	case f.closed:
 	case p.on == nil:
+		f.Count.Releases.WithLabelValues(metrics.ReleaseNoConnection).Inc()
 		f.Log.Error("a release is lost: no connection from callers", "call", fmt.Sprintf("%016x", p.id))
 	default:
+		f.Count.Releases.WithLabelValues(metrics.ReleaseUnacknowledged).Inc()
 		f.Log.Warn("a release was not acknowledged", "call", fmt.Sprintf("%016x", p.id))
 	}
 }
@@ -145,6 +150,7 @@
 		return false
 	}
 	f.hears, c.hears = true, true
+	f.Count.Releases.WithLabelValues(metrics.ReleaseAcknowledged).Inc()
 	delete(f.partings, id)
 	p.timer.Stop()
 	return true
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -23,6 +23,7 @@
 	"violetspan.example/violetspan/internal/config"
 	"violetspan.example/violetspan/internal/core"
 	"violetspan.example/violetspan/internal/inventory"
+	"violetspan.example/violetspan/internal/metrics"
 	"violetspan.example/violetspan/internal/planner"
 	"violetspan.example/violetspan/internal/platform"
 	"violetspan.example/violetspan/internal/tenant"
@@ -68,6 +69,7 @@
 	platform *config.Platform // nil: off
 	service  *config.Service  // nil: off
 	log      *slog.Logger
+	count    *metrics.Set
 	phase    atomic.Int32
 
 	// Reread reads the platform's configuration anew for Reload; nil: it stays.
@@ -94,7 +96,7 @@
 		return nil, fmt.Errorf("key callapi.max_connections: %d is too many beside the platform's callers with %d descriptors in all",
 			sv.MaxConns, pf.Sockets)
 	}
-	return &Proxy{platform: pf, service: sv, log: log}, nil
+	return &Proxy{platform: pf, service: sv, log: log, count: metrics.New()}, nil
 }
 
 // Phase tells where the proxy is.
@@ -103,6 +105,9 @@
 func (p *Proxy) enter(ph Phase) {
 	p.phase.Store(int32(ph))
 	p.log.Info("phase", "phase", ph.String())
+	if ph > Serving {
+		p.log.LogAttrs(context.Background(), slog.LevelInfo, "metrics", p.count.Attrs()...)
+	}
 }
 
 // Run serves until the context ends, then finishes what was taken. Each value
@@ -192,13 +197,15 @@
 	if p.core, err = core.New(life, opt); err != nil {
 		return stop, err
 	}
+	p.gauges()
+	g.Go(func() error { return p.logMetrics(life) })
 	if pf := p.platform; pf != nil {
 		p.front.Calls = p.core
 		known, err := platform.ReadEvents(pf.Known)
 		if err != nil {
 			return stop, fmt.Errorf("key known: %w", err)
 		}
-		p.channel = platform.NewChannel(pf.Channel, p.core.List, p.log)
+		p.channel = platform.NewChannel(pf.Channel, p.core.List, p.log, p.count)
 		p.channel.Take(known)
 		ln, err := platform.Listen(life, pf.Listen)
 		if err != nil {
@@ -236,7 +243,7 @@
 		closers = append(closers, p.api.Close, shut)
 		if sv.AdminListen != "" {
 			a := &admin.Server{TokenHash: sv.AdminTokenHash, Tenants: p.tenants, Switches: p.core.Members,
-				Status: p.status, Reload: p.reloadInventory, Disconnect: p.api.Disconnect, Log: p.log}
+				Status: p.status, Reload: p.reloadInventory, Disconnect: p.api.Disconnect, Log: p.log, Metrics: p.count.Gatherer()}
 			addr, shut, err := p.listenHTTP(life, g, "admin.listen", sv.AdminListen, adminConns, a.Handler())
 			if err != nil {
 				return stop, err
@@ -250,12 +257,12 @@
 
 // settings gathers what the core is made of.
 func (p *Proxy) settings(life context.Context) (*config.Settings, core.Options) {
-	opt := core.Options{Log: p.log}
+	opt := core.Options{Log: p.log, Observer: observer{p.count}}
 	var set *config.Settings
 	if pf := p.platform; pf != nil {
 		set, opt.Seed = &pf.Settings, pf.Seed
 		bounds := pf.Bounds()
-		p.front = platform.NewFront(form(set), bounds.Conns, bounds.Open, p.log)
+		p.front = platform.NewFront(form(set), bounds.Conns, bounds.Open, p.log, p.count)
 		opt.Orphan, opt.MaxCalls = p.front.Orphan, bounds.Calls
 	} else {
 		set, opt.Seed = p.service.Settings, uint64(time.Now().UnixNano())
@@ -270,7 +277,7 @@
 		} else if _, _, err := net.SplitHostPort(m.Addr); err != nil {
 			return nil, err
 		}
-		return trunk.New(life, m, p.core, times, p.log, dial), nil
+		return trunk.New(life, m, p.core, times, p.log, p.count, dial), nil
 	}
 	return set, opt
 }
--- a/internal/trunk/trunk.go
+++ b/internal/trunk/trunk.go
@@ -17,6 +17,7 @@
 
 	"violetspan.example/violetspan/brain"
 	"violetspan.example/violetspan/internal/core"
+	"violetspan.example/violetspan/internal/metrics"
 )
 
 // Conn is one connection to a switch. Read is called by one goroutine; the
@@ -86,6 +87,7 @@
 	log    *slog.Logger
 	dial   func(ctx context.Context, addr string) (Conn, error)
 	times  Times
+	count  *metrics.Set
 	ctx    context.Context
 	stop   context.CancelFunc
 	group  errgroup.Group // the keeper and the readers
@@ -114,9 +116,9 @@
 }
 
 // New makes a link and starts to connect.
-func New(ctx context.Context, m core.Member, up Up, times Times, log *slog.Logger,
+func New(ctx context.Context, m core.Member, up Up, times Times, log *slog.Logger, count *metrics.Set,
 	dial func(ctx context.Context, addr string) (Conn, error)) *Link {
-	l := &Link{member: m, up: up, log: log.With("switch", m.ID, "addr", m.Addr), dial: dial, times: times,
+	l := &Link{member: m, up: up, log: log.With("switch", m.ID, "addr", m.Addr), dial: dial, times: times, count: count,
 		turn: make(chan struct{}, 1), lost: make(chan struct{}, 1), poke: make(chan struct{}, 1), open: map[uint64]bool{}}
 	l.ctx, l.stop = context.WithCancel(ctx)
 	l.group.Go(l.keep)
@@ -177,6 +179,7 @@
 		l.mu.Unlock()
 		if silent {
 			l.log.Warn("connection to a switch is silent", "for", l.times.Silence)
+			l.count.SwitchConnsClosed.WithLabelValues(metrics.CloseSilent).Inc()
 			conn.Close()
 			<-l.lost // its reader says so once what was open is settled
 			return
@@ -218,10 +221,14 @@
 		conn.Close() // the link was closed during the dial
 		err = context.Canceled
 	}
+	failedBefore := l.last.err != nil
 	l.last.at, l.last.err = time.Now(), err
+	l.count.Dials.WithLabelValues(dialResult(err)).Inc()
 	if err != nil {
 		l.mu.Unlock()
-		l.log.Debug("no connection to a switch", "error", err)
+		if !failedBefore { // the first of a series; the others are counted
+			l.log.Warn("no connection to a switch", "error", err)
+		}
 		return nil, err
 	}
 	owed := l.owed
@@ -248,6 +255,20 @@
 	return conn, nil
 }
 
+// dialResult is the metrics label of a dial's error.
+func dialResult(err error) string {
+	var timeout interface{ Timeout() bool }
+	switch {
+	case err == nil:
+		return metrics.DialUp
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return metrics.DialRefused
+	case errors.As(err, &timeout) && timeout.Timeout(), errors.Is(err, context.DeadlineExceeded):
+		return metrics.DialTimeout
+	}
+	return metrics.DialOther
+}
+
 // read takes in what the switch says until the connection ends. Then the
 // set-ups that were open on it are over. Any of them may have run, and its answer
 // may be what was lost: the switch is told of their end on the next connection.
@@ -255,8 +276,14 @@
 	for {
 		ev, err := conn.Read()
 		if err != nil {
-			if l.ctx.Err() == nil && !errors.Is(err, io.EOF) && !errors.Is(err, net.ErrClosed) {
+			switch {
+			case l.ctx.Err() != nil || errors.Is(err, net.ErrClosed):
+			case errors.Is(err, io.EOF):
+				l.log.Info("connection to a switch closed by it")
+				l.count.SwitchConnsClosed.WithLabelValues(metrics.CloseByPeer).Inc()
+			default:
 				l.log.Warn("connection to a switch broke", "error", err)
+				l.count.SwitchConnsClosed.WithLabelValues(metrics.CloseBroken).Inc()
 			}
 			break
 		}
--- a/internal/trunk/trunk_test.go
+++ b/internal/trunk/trunk_test.go
@@ -13,6 +13,7 @@
 
 	"violetspan.example/violetspan/brain"
 	"violetspan.example/violetspan/internal/core"
+	"violetspan.example/violetspan/internal/metrics"
 )
 
 // recorder is a connection that notes what is written on it.
@@ -56,7 +57,7 @@
 	defer cancel()
 	reachable, tried := make(chan struct{}), make(chan struct{}, 16)
 	conn := &recorder{said: make(chan string, 8), closed: make(chan struct{})}
-	l := New(ctx, core.Member{ID: "s1", Addr: "addr"}, deaf{}, Times{time.Minute, time.Minute}, slog.New(slog.DiscardHandler),
+	l := New(ctx, core.Member{ID: "s1", Addr: "addr"}, deaf{}, Times{time.Minute, time.Minute}, slog.New(slog.DiscardHandler), metrics.New(),
 		func(ctx context.Context, _ string) (Conn, error) {
 			tried <- struct{}{}
 			select {
@@ -88,7 +89,7 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
 	said := make(chan string, 8) // on whichever connection
-	l := New(ctx, core.Member{ID: "s1", Addr: "addr"}, deaf{}, Times{time.Minute, 30 * time.Millisecond}, slog.New(slog.DiscardHandler),
+	l := New(ctx, core.Member{ID: "s1", Addr: "addr"}, deaf{}, Times{time.Minute, 30 * time.Millisecond}, slog.New(slog.DiscardHandler), metrics.New(),
 		func(ctx context.Context, _ string) (Conn, error) {
 			return &recorder{said: said, closed: make(chan struct{})}, nil
 		})
@@ -108,7 +109,7 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
 	dials := make(chan bool, 64)
-	l := New(ctx, core.Member{ID: "s1", Addr: "addr"}, deaf{}, Times{time.Minute, time.Millisecond}, slog.New(slog.DiscardHandler),
+	l := New(ctx, core.Member{ID: "s1", Addr: "addr"}, deaf{}, Times{time.Minute, time.Millisecond}, slog.New(slog.DiscardHandler), metrics.New(),
 		func(ctx context.Context, _ string) (Conn, error) {
 			dials <- true
 			return &recorder{said: make(chan string, 8), closed: make(chan struct{})}, nil
