--- a/cmd/violetspan/run.go
+++ b/cmd/violetspan/run.go
@@ -35,7 +35,9 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
-	err = p.Run(ctx, hups(ctx), nil)
+	hup := make(chan os.Signal, 1) // those that come during a reload are one
+	signal.Notify(hup, syscall.SIGHUP)
+	err = p.Run(ctx, hup, nil)
 	out.Close()
 	return err
 }
@@ -63,21 +65,3 @@
 	}
 	return p, err
 }
-
-// hups turns SIGHUP into requests to reload; those that come during one are one.
-func hups(ctx context.Context) <-chan struct{} {
-	sig := make(chan os.Signal, 1)
-	signal.Notify(sig, syscall.SIGHUP)
-	out := make(chan struct{})
-	go func() {
-		for {
-			select {
-			case <-sig:
-				out <- struct{}{}
-			case <-ctx.Done():
-				return
-			}
-		}
-	}()
-	return out
-}
--- /dev/null
+++ b/decide/liveness/liveness.go
@@ -0,0 +1,153 @@
+// Package liveness judges whether the calls that stand at one peer are still there, from
+// the evidence that a proxy has itself: what it receives, and whether connections come up.
+//
+// A peer that vanishes gives no sign, and the service that lists peers may be down or
+// late. The rule is that the callers of calls that are over hear of it within 8 s of the
+// end. The end can't be seen, but it is no earlier than the last evidence of life. So a
+// Detector bounds the time since that evidence: a peer with standing calls that is silent
+// is verified, and if no verification comes up its calls are over OverAfter the last
+// evidence, whether or not anybody says so.
+//
+// A Detector is a state machine without a clock, a goroutine or I/O: times are passed in,
+// and a host carries out what its Verdicts say. It is not safe for concurrent use.
+package liveness
+
+import "time"
+
+// State is what is held to be true of a peer.
+type State int
+
+// The states.
+const (
+	Alive       State = iota // there is recent evidence of life, or nothing stands there
+	Suspected                // calls stand there, and the last evidence is too old
+	Unreachable              // its calls were declared over; no evidence of life since
+	ProcessGone              // it refused a connection; no evidence of life since
+)
+
+func (s State) String() string {
+	return [...]string{"alive", "suspected", "unreachable", "process_gone"}[s]
+}
+
+// Settings are the times of a Detector.
+type Settings struct {
+	// VerifyAfter is how long a peer with standing calls may be silent until it is
+	// verified. A verification costs the peer a connection, so it is no routine.
+	VerifyAfter time.Duration
+	// CautiousAfter takes its place while other evidence is missing; see Caution.
+	CautiousAfter time.Duration
+	// OverAfter is the age of the last evidence at which the calls are over, if
+	// verifications were tried and none came up.
+	OverAfter time.Duration
+	// LeastUnanswered is how many verifications in a row must have failed by then: one
+	// connection may never come up though the peer lives.
+	LeastUnanswered int
+}
+
+// Defaults keep the limit of 8 s with a second to spare for telling callers. A cut that
+// ends within some seconds is outlasted.
+var Defaults = Settings{
+	VerifyAfter:     4500 * time.Millisecond,
+	CautiousAfter:   2 * time.Second,
+	OverAfter:       7 * time.Second,
+	LeastUnanswered: 2,
+}
+
+// Detector judges one peer. Make one with New.
+type Detector struct {
+	set           Settings
+	state         State
+	lastEvidence  time.Time
+	unanswered    int // verifications without an answer since then
+	standing      int
+	cautiousUntil time.Time
+}
+
+// New makes a detector for a peer that nothing is known of.
+func New(set Settings, now time.Time) *Detector {
+	return &Detector{set: set, lastEvidence: now}
+}
+
+// Verdict is what follows from the evidence at some time.
+type Verdict struct {
+	State State
+	// Verify asks for a new connection, or another question that only a living peer
+	// answers; the host reports Alive or Unanswered.
+	Verify bool
+	// CallsOver says, once, that the calls that stood there are over.
+	CallsOver bool
+	// Next is when to ask again if nothing happens; zero: not needed.
+	Next time.Time
+}
+
+// Alive notes evidence of life: something was received, or a connection came up.
+func (d *Detector) Alive(now time.Time) {
+	d.state, d.lastEvidence, d.unanswered = Alive, now, 0
+}
+
+// Unanswered notes that a verification, or any other connection, did not come up.
+func (d *Detector) Unanswered() { d.unanswered++ }
+
+// Refused notes that a connection was refused. Without a connection the process is gone,
+// and with it all that stood there. While another connection is open the machine lives
+// and the process may: one that drains takes no new connections.
+func (d *Detector) Refused(now time.Time, connected bool) Verdict {
+	if connected {
+		d.Alive(now)
+		return d.Check(now)
+	}
+	over := d.standing > 0
+	d.state, d.standing = ProcessGone, 0
+	return Verdict{State: d.state, CallsOver: over}
+}
+
+// Standing notes how many calls stand there. The first one that does is told by its
+// answer, which is evidence of life.
+func (d *Detector) Standing(calls int) { d.standing = calls }
+
+// Caution notes that other evidence is missing until some time: the list of peers is out
+// of reach, other peers have become silent, or this proxy is about to stop.
+func (d *Detector) Caution(until time.Time) {
+	if until.After(d.cautiousUntil) {
+		d.cautiousUntil = until
+	}
+}
+
+// Unproven says whether the peer is suspected and a verification has failed since.
+func (d *Detector) Unproven() bool { return d.state == Suspected && d.unanswered > 0 }
+
+// Check returns what follows at a time.
+func (d *Detector) Check(now time.Time) Verdict {
+	if d.standing == 0 {
+		if d.state == Suspected {
+			d.state = Alive // nothing depends on it any more
+		}
+		return Verdict{State: d.state}
+	}
+	over := d.lastEvidence.Add(d.set.OverAfter)
+	if !now.Before(over) && d.unanswered >= d.set.LeastUnanswered {
+		d.state, d.standing = Unreachable, 0
+		return Verdict{State: d.state, CallsOver: true}
+	}
+	verify := d.verifyAt()
+	if now.Before(verify) {
+		d.state = Alive
+		return Verdict{State: d.state, Next: verify}
+	}
+	d.state = Suspected
+	v := Verdict{State: d.state, Verify: true, Next: over}
+	if !now.Before(over) {
+		v.Next = time.Time{} // the next verification decides
+	}
+	return v
+}
+
+// verifyAt is when the peer is to be verified.
+func (d *Detector) verifyAt() time.Time {
+	usual := d.lastEvidence.Add(d.set.VerifyAfter)
+	cautious := d.lastEvidence.Add(d.set.CautiousAfter)
+	if cautious.Before(usual) && cautious.Before(d.cautiousUntil) {
+		return cautious
+	}
+	return usual
+}
--- /dev/null
+++ b/decide/liveness/liveness_test.go
@@ -0,0 +1,134 @@
+package liveness
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+var start = time.Date(2026, 12, 2, 0, 0, 0, 0, time.UTC)
+
+func at(seconds float64) time.Time { return start.Add(time.Duration(seconds * float64(time.Second))) }
+
+func TestVerdicts(t *testing.T) {
+	type step struct {
+		at   float64
+		do   func(d *Detector, now time.Time)
+		want Verdict
+	}
+	alive := func(d *Detector, now time.Time) { d.Alive(now) }
+	unanswered := func(d *Detector, _ time.Time) { d.Unanswered() }
+	nothing := func(*Detector, time.Time) {}
+	one := func(d *Detector, _ time.Time) { d.Standing(1) }
+	none := func(d *Detector, _ time.Time) { d.Standing(0) }
+	cautious := func(d *Detector, now time.Time) { d.Caution(now.Add(10 * time.Second)) }
+	for name, steps := range map[string][]step{
+		"nothing stands there": {
+			{100, unanswered, Verdict{State: Alive}},
+		},
+		"silent and never verified: not over": {
+			{0, one, Verdict{State: Alive, Next: at(4.5)}},
+			{8, nothing, Verdict{State: Suspected, Verify: true}},
+		},
+		"one connection that does not come up decides nothing": {
+			{0, one, Verdict{State: Alive, Next: at(4.5)}},
+			{4.5, nothing, Verdict{State: Suspected, Verify: true, Next: at(7)}},
+			{7, unanswered, Verdict{State: Suspected, Verify: true}},
+			{7.5, unanswered, Verdict{State: Unreachable, CallsOver: true}},
+			{7.6, nothing, Verdict{State: Unreachable}},
+		},
+		"a cut that ends": {
+			{0, one, Verdict{State: Alive, Next: at(4.5)}},
+			{5, unanswered, Verdict{State: Suspected, Verify: true, Next: at(7)}},
+			{5.5, unanswered, Verdict{State: Suspected, Verify: true, Next: at(7)}},
+			{6, alive, Verdict{State: Alive, Next: at(10.5)}},
+			{7, nothing, Verdict{State: Alive, Next: at(10.5)}},
+		},
+		"with caution it is verified sooner": {
+			{0, one, Verdict{State: Alive, Next: at(4.5)}},
+			{1, cautious, Verdict{State: Alive, Next: at(2)}},
+			{2, nothing, Verdict{State: Suspected, Verify: true, Next: at(7)}},
+		},
+		"caution that has ended": {
+			{0, cautious, Verdict{State: Alive}},
+			{9, alive, Verdict{State: Alive}},
+			{9, one, Verdict{State: Alive, Next: at(13.5)}},
+		},
+		"the calls end by themselves": {
+			{0, one, Verdict{State: Alive, Next: at(4.5)}},
+			{5, unanswered, Verdict{State: Suspected, Verify: true, Next: at(7)}},
+			{6, none, Verdict{State: Alive}},
+			{9, unanswered, Verdict{State: Alive}},
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := New(Defaults, start)
+			for i, s := range steps {
+				s.do(d, at(s.at))
+				if got := d.Check(at(s.at)); got != s.want {
+					t.Fatalf("step %d, at %v: %+v, want %+v", i, s.at, got, s.want)
+				}
+			}
+		})
+	}
+}
+
+func TestRefused(t *testing.T) {
+	d := New(Defaults, start)
+	d.Standing(3)
+	if v := d.Refused(at(6), true); v.CallsOver || v.State != Alive {
+		t.Errorf("%+v: one that drains refuses connections and keeps its calls", v)
+	}
+	if v := d.Refused(at(7), false); !v.CallsOver || v.State != ProcessGone {
+		t.Errorf("%+v: a process that is gone has no calls", v)
+	}
+	if v := d.Refused(at(8), false); v.CallsOver {
+		t.Errorf("%+v: its calls are over once", v)
+	}
+	d.Alive(at(9))
+	if v := d.Check(at(9)); v.State != Alive {
+		t.Errorf("%+v after a connection came up", v)
+	}
+}
+
+// With a host that verifies as it is asked, and a peer that vanishes at any time, the
+// calls are over no later than 7.6 s after the end and never while the peer lives.
+func TestEveryEndIsFoundInTime(t *testing.T) {
+	const limit = 7600 * time.Millisecond
+	for seed := range uint64(3000) {
+		rng := rand.New(rand.NewPCG(seed, 1))
+		seconds := func(most float64) time.Duration { return time.Duration(rng.Float64() * most * float64(time.Second)) }
+		d := New(Defaults, start)
+		d.Standing(1 + rng.IntN(5))
+		vanishes := start.Add(seconds(30))
+		lossy := rng.Float64() < 0.5 // one dial in ten does not come up though it lives
+		now := start
+		for over := false; !over; {
+			v := d.Check(now)
+			switch {
+			case v.CallsOver:
+				over = true
+			case v.Verify:
+				if now.Before(vanishes) && !(lossy && rng.IntN(10) == 0) {
+					d.Alive(now)
+				} else {
+					d.Unanswered()
+					now = now.Add(500 * time.Millisecond)
+				}
+			default:
+				next := v.Next
+				if said := now.Add(seconds(6)); said.Before(vanishes) && said.Before(next) {
+					next = said
+					d.Alive(said)
+				}
+				now = next
+			}
+		}
+		if now.Before(vanishes) {
+			t.Fatalf("seed %d: over %v before the end", seed, vanishes.Sub(now))
+		}
+		if late := now.Sub(vanishes); late > limit {
+			t.Fatalf("seed %d: found %v after the end", seed, late)
+		}
+	}
+}
--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -33,9 +33,9 @@
 
 // Status is how the proxy is.
 type Status struct {
-	Phase    string `json:"phase"`
-	Owed     int    `json:"calls_unanswered"`
-	Standing int    `json:"calls_standing"`
+	Phase      string `json:"phase"`
+	Unanswered int    `json:"calls_unanswered"`
+	Standing   int    `json:"calls_standing"`
 }
 
 var json = jsoniter.Config{EscapeHTML: true, DisallowUnknownFields: true, ValidateJsonRawMessage: true}.Froze()
--- a/internal/callapi/link.go
+++ b/internal/callapi/link.go
@@ -55,7 +55,7 @@
 // what it spoke of is not known, and a reset is. So does one that no switch
 // sends, which may be a spoilt answer.
 func (s *switchConn) Read() (trunk.Event, error) {
-	m, err := read(s.ctx, s.conn, trunk.MessageRest)
+	m, err := read(s.ctx, s.conn, trunk.MessageTimeout)
 	if err != nil {
 		var closed websocket.CloseError
 		if errors.As(err, &closed) {
@@ -118,11 +118,14 @@
 	return s.send(message{Type: typeRelease, Call: callID(id)})
 }
 
-// Heard says nothing: the API has no acknowledgement of ends.
-func (s *switchConn) Heard(uint64) error { return nil }
+// AcknowledgeRelease says nothing: the API has no acknowledgement of ends.
+func (s *switchConn) AcknowledgeRelease(uint64) error { return nil }
 
-// Passed says nothing: WebSocket has pings of its own.
-func (s *switchConn) Passed(uint64) error { return nil }
+// ReplyToTest says nothing: WebSocket has pings of its own.
+func (s *switchConn) ReplyToTest(uint64) error { return nil }
+
+// Ping asks for a sign of life, which Read takes in.
+func (s *switchConn) Ping(ctx context.Context) error { return s.conn.Ping(ctx) }
 
 // Close ends the connection at once.
 func (s *switchConn) Close() error {
--- a/internal/core/call.go
+++ b/internal/core/call.go
@@ -12,23 +12,26 @@
 // call is one call from its set-up to its end.
 type call struct {
 	*SetUp
-	name   string // its id, as the module knows it
-	caller Caller
-	ctx    context.Context // ends when the caller leaves
-	leave  context.CancelFunc
-	todo   chan brain.Action // what the module wants done
-	news   chan reply        // what its switch said
+	name    string // its id, as the module knows it
+	caller  Caller
+	ctx     context.Context // ends when the caller leaves
+	leave   context.CancelFunc
+	actions chan brain.Action // what the module wants done
+	replies chan reply        // what its switch said
+
+	over chan struct{} // closed when the core has forgotten it
 
 	// Under the core's lock:
-	out      string // the switch that a set-up is out at, or that it stands through
-	host     string // the last switch that a set-up was for
-	answered bool   // that switch answered
-	paid     bool   // the final answer was given
-	shut     bool   // Close left it
+	out        *member   // the switch that a set-up is out at, or that it stands through
+	last       *member   // the last switch that a set-up was for
+	answered   bool      // that switch answered
+	stoodSince time.Time // ... at this time
+	final      bool      // the final answer was given
+	shut       bool      // Close left it
 
 	// The goroutine's own:
-	sends    int
-	restTill time.Time // no send before
+	sends     int
+	notBefore time.Time // no send before
 }
 
 // reply is what a switch said of a call.
@@ -41,7 +44,7 @@
 
 func newCall(c *Core, s *SetUp, from Caller) *call {
 	k := &call{SetUp: s, name: fmt.Sprintf("%016x", s.ID), caller: from,
-		todo: make(chan brain.Action, 8), news: make(chan reply, 4)}
+		actions: make(chan brain.Action, 8), replies: make(chan reply, 4), over: make(chan struct{})}
 	k.ctx, k.leave = context.WithCancel(c.ctx)
 	return k
 }
@@ -49,7 +52,7 @@
 // push never blocks: a switch that repeats itself loses the repeats.
 func (k *call) push(r reply) bool {
 	select {
-	case k.news <- r:
+	case k.replies <- r:
 		return true
 	default:
 		return false
@@ -64,8 +67,8 @@
 
 	// The module hears of the call. Its answer must leave before the caller gives
 	// up, so the module is told a somewhat earlier time.
-	owed := time.NewTimer(time.Until(k.Deadline.Add(-guardMargin)))
-	defer owed.Stop()
+	due := time.NewTimer(time.Until(k.Deadline.Add(-guardMargin)))
+	defer due.Stop()
 	c.tell(brain.Offered{Call: k.name, Class: k.Class, Number: k.Number, Dest: k.Dest, Width: k.Width,
 		Expires: c.clock(k.Deadline.Add(-answerMargin)), Transit: k.Transit, Cut: k.Again})
 
@@ -73,7 +76,7 @@
 		// What the module wants next: a send now, or after a hold or a rest; or
 		// the final answer.
 		var send brain.Send
-		switch a := c.next(k, owed.C).(type) {
+		switch a := c.next(k, due.C).(type) {
 		case brain.Send:
 			send = a
 		case brain.Refuse:
@@ -139,13 +142,16 @@
 				c.opt.Observer.CallOver(EndNotDelivered)
 				return
 			}
-			c.paid(k)
+			c.answeredCaller(k)
 			c.opt.Observer.FinalAnswer(AnswerStands)
 			c.opt.Observer.Attempt(brain.Ended)
 
 			// The call stands until its switch ends it or its caller hangs up.
 			select {
-			case r := <-k.news:
+			case r := <-k.replies:
+				if r.why.judgedHere() {
+					l.Release(k.ID) // it may stand there yet
+				}
 				c.settle(k, send, sent, r.end, true)
 				k.caller.Release(k.ID, r.end.Result != brain.Ended)
 				c.opt.Observer.CallOver(r.why)
@@ -171,7 +177,7 @@
 
 // next waits for what the module wants of a call that has no attempt out. What
 // was decided already counts before the clock, but not for a caller who has left.
-func (c *Core) next(k *call, owed <-chan time.Time) any {
+func (c *Core) next(k *call, due <-chan time.Time) any {
 	select {
 	case <-k.ctx.Done():
 		c.withdraw(k)
@@ -179,17 +185,17 @@
 	default:
 	}
 	select {
-	case a := <-k.todo:
+	case a := <-k.actions:
 		return a
 	default:
 	}
 	select {
-	case a := <-k.todo:
+	case a := <-k.actions:
 		return a
 	case <-k.ctx.Done():
 		c.withdraw(k)
 		return left{}
-	case <-owed:
+	case <-due:
 		c.log.Error("no decision before the caller gives up", "call", k.name)
 		c.withdraw(k)
 		return overdue{}
@@ -201,8 +207,8 @@
 // it as out for good, and after a few such calls send nothing to that switch.
 func (c *Core) withdraw(k *call) {
 	c.tell(brain.Withdrawn{Call: k.name})
-	for len(k.todo) > 0 {
-		if send, ok := (<-k.todo).(brain.Send); ok {
+	for len(k.actions) > 0 {
+		if send, ok := (<-k.actions).(brain.Send); ok {
 			k.sends++
 			c.settle(k, send, time.Now(), End{Result: brain.Unused}, true)
 		}
@@ -228,7 +234,7 @@
 wait:
 	for {
 		select {
-		case r := <-k.news:
+		case r := <-k.replies:
 			return r, bySwitch
 		case <-limit.C:
 			how = byClock
@@ -236,7 +242,7 @@
 		case <-k.ctx.Done():
 			how = byCaller
 			break wait
-		case a := <-k.todo:
+		case a := <-k.actions:
 			if x, ok := a.(brain.Cancel); ok {
 				if x.Attempt != k.sends-1 {
 					continue
@@ -251,11 +257,11 @@
 	// unless nobody waits for it.
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	k.out = ""
+	k.out = nil
 	select {
-	case r := <-k.news:
+	case r := <-k.replies:
 		if how != byCaller {
-			k.out = k.host
+			k.out = k.last
 			return r, bySwitch
 		}
 	default:
@@ -282,7 +288,7 @@
 	switch {
 	case m == nil || m.State != brain.Ready:
 		err = ErrNotSent
-	case time.Now().Before(k.restTill):
+	case time.Now().Before(k.notBefore):
 		err = errRest
 	case k.sends >= c.opt.Settings.MaxAttempts:
 		err = errSends
@@ -293,9 +299,9 @@
 	}
 	k.sends++ // the module counts this one, whatever becomes of it
 	if err == nil {
-		k.out, k.host, k.answered = send.Host, send.Host, false
-		for len(k.news) > 0 {
-			<-k.news // of an earlier attempt that had ended already
+		k.out, k.last, k.answered = m, m, false
+		for len(k.replies) > 0 {
+			<-k.replies // of an earlier attempt that had ended already
 		}
 	}
 	c.mu.Unlock()
@@ -307,7 +313,7 @@
 	until := time.Now().Add(send.Timeout)
 	ctx, cancel := context.WithDeadline(k.ctx, until)
 	defer cancel()
-	err = m.link.SetUp(ctx, k.SetUp, until, func() bool { return ctx.Err() == nil && c.ready(send.Host) })
+	err = m.link.SetUp(ctx, k.SetUp, until, func() bool { return ctx.Err() == nil && c.ready(m) })
 	return m.link, err
 }
 
@@ -319,11 +325,11 @@
 	}
 	switch e.Result {
 	case brain.TimedOut, brain.Reset, brain.Cancelled:
-		k.restTill = now.Add(c.opt.Settings.Release)
+		k.notBefore = now.Add(c.opt.Settings.Release)
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	k.out = ""
+	k.out = nil
 	c.tellLocked(brain.Settled{Call: k.name, Attempt: k.sends - 1, Host: send.Host, Result: e.Result, Cause: e.Cause,
 		Over: over, Delay: now.Sub(sent), Report: brain.NoReport})
 }
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -75,6 +75,13 @@
 	SetUp(ctx context.Context, s *SetUp, until time.Time, mayGo func() bool) error
 	GiveUp(id uint64)
 	Release(id uint64)
+	// Caution makes the link verify a silent switch sooner until some time.
+	Caution(until time.Time)
+	// Unproven says whether calls that stand there may be over: the switch is silent,
+	// and a verification failed.
+	Unproven() bool
+	// Leave says that the switch has gone: nothing new is to be opened to its address.
+	Leave()
 	Close()
 }
 
@@ -105,13 +112,14 @@
 	Settings brain.Settings
 	Seed     uint64
 	Log      *slog.Logger
-	// Open makes the link to a member. It must not block.
-	Open func(m Member) (Link, error)
-	// Orphan is told of the end of a call that is not known here: it stood
+	// Open makes the link to a member, which tells the peer what it hears. It must
+	// not block.
+	Open func(m Member, peer *Peer) (Link, error)
+	// UnknownRelease is told of the end of a call that is not known here: it stood
 	// through this proxy before its restart, and its caller must hear of it.
-	Orphan   func(id uint64, cut bool)
-	MaxCalls int
-	Observer Observer // nil: nobody counts
+	UnknownRelease func(id uint64, cut bool)
+	MaxCalls       int
+	Observer       Observer // nil: nobody counts
 	// Seen, if set, is told of each call that is taken from a caller of this exchange.
 	// It must not block.
 	Seen func(s *SetUp)
@@ -121,46 +129,49 @@
 const (
 	answerMargin = 40 * time.Millisecond // an answer leaves so long before its caller gives up
 	guardMargin  = 15 * time.Millisecond // ... and the core gives one itself so long before
-	cutLinger    = 1500 * time.Millisecond
-	endedMemory  = 30 * time.Second
-	maxEnded     = 1 << 15
-	maxStrays    = 1024
-	epoch        = 24 * time.Hour // the module's clock at the start: switches may be older
+	// A list comes up to 7 s late, and callers hear of an end within 8 s of it.
+	removedLinger  = 500 * time.Millisecond // for releases of a removed switch that are on their way
+	lastWords      = 200 * time.Millisecond // ... and for ours to it after that
+	cautionFor     = 10 * time.Second       // after evidence of some switch was missing
+	endedMemory    = 30 * time.Second
+	maxEnded       = 1 << 15
+	maxUnknownEnds = 1024
+	epoch          = 24 * time.Hour // the module's clock at the start: switches may be older
 )
 
 // Core runs calls. Make one with New.
 type Core struct {
-	opt   Options
-	log   *slog.Logger
-	start time.Time
-	ctx   context.Context
-	group *errgroup.Group // the calls
-	side  errgroup.Group  // what nobody waits for but Close; begun under mu, and not once closed
-	stray chan stray      // hang-ups of calls that are not known here
-
-	mu      sync.Mutex // guards all below
-	brain   *brain.Controller
-	calls   map[uint64]*call
-	names   map[string]*call // the same calls, as the module names them
-	members map[string]*member
-	ended   map[uint64]time.Time // calls that were answered and are over
-	swept   time.Time
-	owed    int              // calls that wait for their final answer
-	changed chan struct{}    // closed when owed or len(calls) falls
-	leaving map[*member]bool // switches that left, whose links are still open
-	stopped bool             // no new calls
-	closed  bool
+	opt         Options
+	log         *slog.Logger
+	start       time.Time
+	ctx         context.Context
+	group       *errgroup.Group // the calls
+	side        errgroup.Group  // what nobody waits for but Close; begun under mu, and not once closed
+	unknownEnds chan unknownEnd // hang-ups of calls that are not known here
+
+	mu         sync.Mutex // guards all below
+	brain      *brain.Controller
+	calls      map[uint64]*call
+	names      map[string]*call // the same calls, as the module names them
+	members    map[string]*member
+	ended      map[uint64]time.Time // calls that were answered and are over
+	swept      time.Time
+	unanswered int              // calls that wait for their final answer
+	changed    chan struct{}    // closed when unanswered or len(calls) falls
+	draining   map[*member]bool // switches that were removed, whose links are still open
+	stopped    bool             // no new calls
+	closed     bool
 }
 
 type member struct {
 	Member
-	link   Link
-	source string
-	gentle bool // it left, and its link stays until nothing stands there
+	link     Link
+	source   string
+	graceful bool // it was removed, and its link stays until nothing stands there
 }
 
-// stray is the hang-up of a call that is not known here.
-type stray struct {
+// unknownEnd is the hang-up of a call that is not known here.
+type unknownEnd struct {
 	id    uint64
 	links []Link
 }
@@ -182,9 +193,9 @@
 	}
 	g, ctx := errgroup.WithContext(ctx)
 	c := &Core{opt: opt, log: opt.Log, start: time.Now(), ctx: ctx, group: g, brain: b,
-		calls: map[uint64]*call{}, names: map[string]*call{}, members: map[string]*member{}, leaving: map[*member]bool{},
-		ended: map[uint64]time.Time{}, changed: make(chan struct{}), stray: make(chan stray, maxStrays)}
-	c.side.Go(c.hangUpStrays)
+		calls: map[uint64]*call{}, names: map[string]*call{}, members: map[string]*member{}, draining: map[*member]bool{},
+		ended: map[uint64]time.Time{}, changed: make(chan struct{}), unknownEnds: make(chan unknownEnd, maxUnknownEnds)}
+	c.side.Go(c.hangUpUnknown)
 	return c, nil
 }
 
@@ -229,7 +240,7 @@
 		return
 	}
 	select {
-	case k.todo <- a:
+	case k.actions <- a:
 	default:
 		// A call gets at most a send, a cancel and an answer between two events of
 		// its own; more is a fault of the module.
@@ -242,9 +253,9 @@
 	Source  string
 	Full    bool // Members are all that the source has: those it lacks have left
 	Members []Member
-	// Gentle: a switch that left may still run, and what stands there goes on.
-	// Otherwise it is gone, and its calls with it.
-	Gentle bool
+	// Graceful: a switch that was removed may still run, and what stands there goes
+	// on. Otherwise it is gone, and its calls with it.
+	Graceful bool
 }
 
 // List takes a source's whole list of switches or changes to it. The module
@@ -266,6 +277,9 @@
 			}
 		}
 	}
+	if !l.Graceful {
+		ms = c.withDisplaced(ms, l.Source)
+	}
 	var ev brain.Listed
 	for _, m := range ms {
 		if !c.setMember(m, l) {
@@ -280,6 +294,33 @@
 	c.tellLocked(ev)
 }
 
+// withDisplaced puts before entries those switches as gone whose address another switch
+// has by them: it can only have it after they had gone.
+func (c *Core) withDisplaced(entries []Member, source string) []Member {
+	var gone []Member
+	for _, e := range entries {
+		if e.State == brain.Gone {
+			continue
+		}
+		for _, m := range c.members {
+			if m.Addr == e.Addr && m.ID != e.ID && m.source == source && !listedElsewhere(entries, m.Member) {
+				displaced := m.Member
+				displaced.State = brain.Gone
+				gone = append(gone, displaced)
+			}
+		}
+	}
+	return append(gone, entries...)
+}
+
+// listedElsewhere says whether entries give a switch another address, or say that it has
+// gone themselves.
+func listedElsewhere(entries []Member, m Member) bool {
+	return slices.ContainsFunc(entries, func(e Member) bool {
+		return e.ID == m.ID && (e.Addr != m.Addr || e.State == brain.Gone)
+	})
+}
+
 // setMember takes in one entry of a list; false if it can't be used.
 func (c *Core) setMember(m Member, l List) bool {
 	old := c.members[m.ID]
@@ -289,60 +330,65 @@
 	}
 	if m.State == brain.Gone {
 		if old != nil {
-			c.retire(old, l.Gentle)
+			c.remove(old, l.Graceful)
 		}
 		return true
 	}
 	if old != nil && old.Addr == m.Addr {
 		if !old.Started.Equal(m.Started) {
-			c.cutAll(m.ID, EndRestarted) // what stood there before is cut
+			c.cutAll(old, EndRestarted, m.Started) // what stood there before is cut
 		}
 		old.Member = m
 		return true
 	}
-	link, err := c.opt.Open(m)
+	added := &member{Member: m, source: l.Source}
+	link, err := c.opt.Open(m, &Peer{c, added})
 	if err != nil {
 		c.log.Error("a listed switch can't be used", "switch", m.ID, "addr", m.Addr, "error", err)
 		return false
 	}
+	added.link = link
 	if old != nil {
-		c.retire(old, l.Gentle)
+		c.remove(old, l.Graceful)
 	}
-	c.members[m.ID] = &member{Member: m, link: link, source: l.Source}
+	c.members[m.ID] = added
 	return true
 }
 
-// retire drops a switch that has left. Its releases may still be on their way,
-// so the link stays: until nothing stands there if it may still run, else for a
-// moment, after which what stands is cut.
-func (c *Core) retire(m *member, gentle bool) {
+// remove drops a switch that has left. Its releases may still be on their way, so the link
+// stays: until nothing stands there if it may still run, else for a moment, after which
+// what stands is cut.
+func (c *Core) remove(m *member, graceful bool) {
 	delete(c.members, m.ID)
-	m.gentle = gentle
-	c.leaving[m] = true
-	if gentle {
-		c.sweepLeaving()
+	m.graceful = graceful
+	c.draining[m] = true
+	if graceful {
+		c.sweepDraining()
 		return
 	}
-	time.AfterFunc(cutLinger, func() {
+	m.link.Leave()
+	time.AfterFunc(removedLinger, func() {
 		c.mu.Lock()
 		defer c.mu.Unlock()
-		if c.members[m.ID] == nil {
-			c.cutAll(m.ID, EndRemoved)
-		}
-		c.closeLink(m)
+		c.cutAll(m, EndRemoved, time.Now())
+		time.AfterFunc(lastWords, func() {
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			c.closeLink(m)
+		})
 	})
 }
 
-// sweepLeaving closes the links to switches that left gently and have no call
-// any more.
-func (c *Core) sweepLeaving() {
-	for m := range c.leaving {
-		if !m.gentle {
+// sweepDraining closes the links to switches that were removed gracefully and have no
+// call any more.
+func (c *Core) sweepDraining() {
+	for m := range c.draining {
+		if !m.graceful {
 			continue
 		}
 		inUse := false
 		for _, k := range c.calls {
-			inUse = inUse || k.out == m.ID
+			inUse = inUse || k.out == m
 		}
 		if !inUse {
 			c.closeLink(m)
@@ -350,19 +396,64 @@
 	}
 }
 
-// closeLink closes the link to a switch that left. A Link's Close waits for
+// closeLink closes the link to a switch that was removed. A Link's Close waits for
 // readers that may be about to take the lock, so it is not called under it.
 func (c *Core) closeLink(m *member) {
-	if c.closed || !c.leaving[m] {
+	if c.closed || !c.draining[m] {
 		return // Close does it, or did
 	}
-	delete(c.leaving, m)
+	delete(c.draining, m)
 	c.side.Go(func() error {
 		m.link.Close()
 		return nil
 	})
 }
 
+// Caution says that evidence is missing, as when the list of switches can't be had: the
+// links verify silent switches sooner for some time.
+func (c *Core) Caution() { c.caution(time.Now().Add(cautionFor)) }
+
+func (c *Core) caution(until time.Time) {
+	for _, m := range c.allMembers() {
+		m.link.Caution(until)
+	}
+}
+
+// allMembers returns the switches that are listed or draining.
+func (c *Core) allMembers() []*member {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	ms := make([]*member, 0, len(c.members)+len(c.draining))
+	for _, m := range c.members {
+		ms = append(ms, m)
+	}
+	for m := range c.draining {
+		ms = append(ms, m)
+	}
+	return ms
+}
+
+// EndUnproven ends the calls that stand at switches of which nothing was heard for some
+// time, and returns once their callers were told. A proxy does so before it stops: nobody
+// else knows of these calls, and if they are over no release will say so.
+func (c *Core) EndUnproven(ctx context.Context) {
+	var cut []*call
+	for _, m := range c.allMembers() {
+		if m.link.Unproven() {
+			c.mu.Lock()
+			cut = append(cut, c.cutAll(m, EndShutdown, time.Now())...)
+			c.mu.Unlock()
+		}
+	}
+	for _, k := range cut {
+		select {
+		case <-k.over:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 // Members returns the switches as they are listed now, by their ids.
 func (c *Core) Members() []Member {
 	c.mu.Lock()
@@ -408,7 +499,7 @@
 	}
 	c.calls[s.ID], c.names[k.name] = k, k
 	delete(c.ended, s.ID)
-	c.owed++
+	c.unanswered++
 	if c.opt.Seen != nil && !s.Transit && !s.Again {
 		c.opt.Seen(s)
 	}
@@ -445,20 +536,20 @@
 		return
 	}
 	select {
-	case c.stray <- stray{id, links}:
+	case c.unknownEnds <- unknownEnd{id, links}:
 	default:
 		c.log.Warn("too many hang-ups of calls that are not known here", "call", fmt.Sprintf("%016x", id))
 	}
 }
 
-// hangUpStrays tells every switch of such a call's end. It has a goroutine of
+// hangUpUnknown tells every switch of such a call's end. It has a goroutine of
 // its own, as a switch that does not read would hold up the caller's reader.
-func (c *Core) hangUpStrays() error {
+func (c *Core) hangUpUnknown() error {
 	for {
 		select {
-		case s := <-c.stray:
-			for _, l := range s.links {
-				l.Release(s.id)
+		case end := <-c.unknownEnds:
+			for _, l := range end.links {
+				l.Release(end.id)
 			}
 		case <-c.ctx.Done():
 			return nil
@@ -466,95 +557,18 @@
 	}
 }
 
-// Verdict is what became of a switch's answer.
-type Verdict int
-
-// The verdicts. A switch may say more than belongs to it: only a Late answer
-// is of something that stands there and that nobody wants.
-const (
-	Taken   Verdict = iota
-	Copy            // the call stands through that switch already: to be dropped
-	Late            // the set-up was given up: what it set up is to be released
-	Unknown         // no call of that id was here: to be dropped
-)
-
-// Answered tells that a switch answered.
-func (c *Core) Answered(host string, id uint64, description []byte) Verdict {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	k := c.calls[id]
-	_, over := c.ended[id]
-	switch {
-	case k == nil && !over:
-		return Unknown
-	case k == nil || k.out != host:
-		return Late
-	case k.answered:
-		return Copy
-	}
-	k.answered = true
-	k.push(reply{answer: true, description: description})
-	return Taken
-}
-
-// Ended tells that a set-up or a standing call has ended at a switch.
-func (c *Core) Ended(host string, id uint64, e End) {
-	c.mu.Lock()
-	k := c.calls[id]
-	_, over := c.ended[id]
-	known := k != nil || over
-	if k != nil && k.out == host {
-		why := EndReleased
-		if e.Result != brain.Ended {
-			why = EndCutBySwitch
-		}
-		k.push(reply{end: e, why: why})
-	}
-	c.mu.Unlock()
-	if !known && c.opt.Orphan != nil && (e.Result == brain.Ended || e.Result == brain.Reset) {
-		c.opt.Orphan(id, e.Result == brain.Reset)
-	}
-}
-
-// Group tells the state of the group toward a switch.
-func (c *Core) Group(host string, r brain.Report) {
-	c.tell(brain.Probed{Host: host, Report: r})
-}
-
-// Dead tells that a switch's process is gone: what stood there was cut.
-func (c *Core) Dead(host string) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.cutAll(host, EndProcessGone)
-}
-
-// cutAll ends the calls that stand through a switch. The lock is held.
-func (c *Core) cutAll(host string, why EndReason) {
-	n := 0
-	for _, k := range c.calls {
-		if k.out == host && k.answered {
-			k.push(reply{end: End{Result: brain.Reset}, why: why})
-			n++
-		}
-	}
-	if n > 0 {
-		c.log.Warn("standing calls cut with their switch", "switch", host, "calls", n, "why", why.String())
-	}
-}
-
 // ready says whether a switch takes new set-ups by the list as it is now.
-func (c *Core) ready(host string) bool {
+func (c *Core) ready(m *member) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	m := c.members[host]
-	return m != nil && m.State == brain.Ready
+	return c.members[m.ID] == m && m.State == brain.Ready
 }
 
 // Counts returns how many calls wait for an answer and how many stand.
-func (c *Core) Counts() (owed, standing int) {
+func (c *Core) Counts() (unanswered, standing int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.owed, len(c.calls) - c.owed
+	return c.unanswered, len(c.calls) - c.unanswered
 }
 
 // Settle waits until no call waits for its answer, and with standing set, until
@@ -562,7 +576,7 @@
 func (c *Core) Settle(ctx context.Context, standing bool) error {
 	for {
 		c.mu.Lock()
-		done, ch := c.owed == 0 && !(standing && len(c.calls) > 0), c.changed
+		done, ch := c.unanswered == 0 && !(standing && len(c.calls) > 0), c.changed
 		c.mu.Unlock()
 		if done {
 			return nil
@@ -586,17 +600,17 @@
 		}
 	}
 	c.mu.Unlock()
-	err := c.group.Wait() // ends the context too, and hangUpStrays with it
+	err := c.group.Wait() // ends the context too, and hangUpUnknown with it
 	c.mu.Lock()
 	var links []Link
 	for _, m := range c.members {
 		links = append(links, m.link)
 	}
-	for m := range c.leaving {
+	for m := range c.draining {
 		links = append(links, m.link)
 	}
 	clear(c.members)
-	clear(c.leaving)
+	clear(c.draining)
 	c.mu.Unlock()
 	for _, l := range links {
 		l.Close()
@@ -611,17 +625,17 @@
 	return k.shut || c.ctx.Err() != nil
 }
 
-// paid notes that a call's final answer was given.
-func (c *Core) paid(k *call) {
+// answeredCaller notes that a call's final answer was given.
+func (c *Core) answeredCaller(k *call) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.paidLocked(k)
+	c.answeredCallerLocked(k)
 }
 
-func (c *Core) paidLocked(k *call) {
-	if !k.paid {
-		k.paid = true
-		c.owed--
+func (c *Core) answeredCallerLocked(k *call) {
+	if !k.final {
+		k.final = true
+		c.unanswered--
 		c.wake()
 	}
 }
@@ -636,7 +650,8 @@
 func (c *Core) drop(k *call) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.paidLocked(k)
+	c.answeredCallerLocked(k)
+	close(k.over)
 	delete(c.calls, k.ID)
 	delete(c.names, k.name)
 	now := time.Now()
@@ -652,7 +667,7 @@
 		c.ended[k.ID] = now
 	}
 	c.wake()
-	if len(c.leaving) > 0 {
-		c.sweepLeaving()
+	if len(c.draining) > 0 {
+		c.sweepDraining()
 	}
 }
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -14,10 +14,11 @@
 
 // fake is a caller and, by its link, all switches. Its channels tell what it saw.
 type fake struct {
-	sent   chan string // "switch set-up", "switch give-up", "switch release", "close switch"
-	told   chan string // what the caller heard
-	before func(on func() bool) error
-	stuck  chan struct{} // holds every release to a switch until it closes
+	sent     chan string // "switch set-up", "switch give-up", "switch release", "close switch"
+	told     chan string // what the caller heard
+	before   func(on func() bool) error
+	stuck    chan struct{} // holds every release to a switch until it closes
+	unproven string        // the switch whose calls may be over
 }
 
 type fakeLink struct {
@@ -41,7 +42,10 @@
 	}
 	l.f.sent <- l.id + " release"
 }
-func (l fakeLink) Close() { l.f.sent <- "close " + l.id }
+func (l fakeLink) Caution(time.Time) {}
+func (l fakeLink) Unproven() bool    { return l.f.unproven == l.id }
+func (l fakeLink) Leave()            {}
+func (l fakeLink) Close()            { l.f.sent <- "close " + l.id }
 
 func (f *fake) Answer(_ uint64, d []byte) error      { f.told <- "answer " + string(d); return nil }
 func (f *fake) Refuse(_ uint64, again time.Duration) { f.told <- "refused" }
@@ -56,7 +60,7 @@
 	c, err := New(t.Context(), Options{
 		Settings: brain.Settings{Here: 0, Fleet: 2, MaxAttempts: 5, Release: 20 * time.Millisecond,
 			CancelAllowed: true, Classes: []brain.Class{class}},
-		Open: func(m Member) (Link, error) { return fakeLink{f, m.ID}, nil }})
+		Open: func(m Member, _ *Peer) (Link, error) { return fakeLink{f, m.ID}, nil }})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -64,6 +68,18 @@
 	return c, f
 }
 
+// peerOf is a switch, listed or draining, as its link sees the core.
+func peerOf(t *testing.T, c *Core, id string) *Peer {
+	t.Helper()
+	for _, m := range c.allMembers() {
+		if m.ID == id {
+			return &Peer{c, m}
+		}
+	}
+	t.Fatalf("no switch %s", id)
+	return nil
+}
+
 func (f *fake) want(t *testing.T, from chan string, wants ...string) {
 	t.Helper()
 	for _, want := range wants {
@@ -85,8 +101,8 @@
 	}
 }
 
-func list(c *Core, gentle bool, ms ...Member) {
-	c.List(List{Source: "test", Members: ms, Gentle: gentle})
+func list(c *Core, graceful bool, ms ...Member) {
+	c.List(List{Source: "test", Members: ms, Graceful: graceful})
 }
 
 // A dial may outlast a drain: the list is asked again just before the first
@@ -117,14 +133,14 @@
 	list(c, false, Member{ID: "old", Addr: "x", Number: 1})
 	offer(t, c, f, 1, 1)
 	f.want(t, f.sent, "old set-up")
-	c.Answered("old", 1, []byte("d"))
+	peerOf(t, c, "old").Answered(1, []byte("d"))
 	f.want(t, f.told, "answer d")
 	list(c, false, Member{ID: "old", Addr: "x", Number: 1, State: brain.Gone}, Member{ID: "new", Addr: "x", Number: 1})
 	offer(t, c, f, 2, 1)
 	f.want(t, f.sent, "new set-up")
 	f.want(t, f.told, "cut")
-	f.want(t, f.sent, "close old")
-	c.Answered("new", 2, []byte("e"))
+	f.want(t, f.sent, "old release", "close old") // it may stand there yet
+	peerOf(t, c, "new").Answered(2, []byte("e"))
 	f.want(t, f.told, "answer e")
 }
 
@@ -134,7 +150,7 @@
 	list(c, false, Member{ID: "a", Addr: "x", Number: 1})
 	offer(t, c, f, 1, 1)
 	f.want(t, f.sent, "a set-up")
-	c.Answered("a", 1, nil)
+	peerOf(t, c, "a").Answered(1, nil)
 	f.want(t, f.told, "answer ")
 	list(c, false, Member{ID: "a", Addr: "x", Number: 1, Started: time.Now()})
 	f.want(t, f.told, "cut")
@@ -142,17 +158,17 @@
 
 // A switch that leaves an inventory may still run: its calls go on, its link
 // closes with the last of them.
-func TestGentleLeaveKeepsStandingCalls(t *testing.T) {
+func TestGracefulRemovalKeepsStandingCalls(t *testing.T) {
 	c, f := newCore(t)
 	list(c, true, Member{ID: "a", Addr: "x", Number: 1})
 	offer(t, c, f, 1, 1)
 	f.want(t, f.sent, "a set-up")
-	c.Answered("a", 1, nil)
+	peerOf(t, c, "a").Answered(1, nil)
 	f.want(t, f.told, "answer ")
-	c.List(List{Source: "test", Full: true, Gentle: true})
+	c.List(List{Source: "test", Full: true, Graceful: true})
 	offer(t, c, f, 2, 1)
 	f.want(t, f.told, "refused")
-	c.Ended("a", 1, End{Result: brain.Ended})
+	peerOf(t, c, "a").Ended(1, End{Result: brain.Ended})
 	f.want(t, f.told, "ended")
 	f.want(t, f.sent, "close a")
 }
@@ -163,13 +179,13 @@
 	list(c, false, Member{ID: "a", Addr: "x", Number: 1}, Member{ID: "b", Addr: "y", Number: 2})
 	offer(t, c, f, 1, 1)
 	f.want(t, f.sent, "a set-up")
-	if c.Answered("b", 1, nil) != Late || c.Answered("a", 1, nil) != Taken || c.Answered("a", 1, nil) != Copy || c.Answered("a", 9, nil) != Unknown {
+	if peerOf(t, c, "b").Answered(1, nil) != Late || peerOf(t, c, "a").Answered(1, nil) != Taken || peerOf(t, c, "a").Answered(1, nil) != Copy || peerOf(t, c, "a").Answered(9, nil) != Unknown {
 		t.Error("an answer counts once, and only from where the set-up is")
 	}
 	f.want(t, f.told, "answer ")
-	c.Ended("b", 1, End{Result: brain.Ended})
-	c.Ended("a", 1, End{Result: brain.Ended})
-	c.Ended("a", 1, End{Result: brain.Ended})
+	peerOf(t, c, "b").Ended(1, End{Result: brain.Ended})
+	peerOf(t, c, "a").Ended(1, End{Result: brain.Ended})
+	peerOf(t, c, "a").Ended(1, End{Result: brain.Ended})
 	f.want(t, f.told, "ended")
 	if err := c.Settle(t.Context(), true); err != nil {
 		t.Fatal(err)
@@ -186,7 +202,7 @@
 	offer(t, c, f, 1, 1)
 	f.want(t, f.sent, "a set-up")
 	began := time.Now()
-	c.Ended("a", 1, End{Result: brain.Reset})
+	peerOf(t, c, "a").Ended(1, End{Result: brain.Reset})
 	f.want(t, f.sent, "a set-up")
 	if d := time.Since(began); d < 20*time.Millisecond {
 		t.Errorf("sent again after %v", d)
@@ -221,7 +237,7 @@
 
 // Guards against a switch that does not read: a hang-up of a call that is not
 // known here goes to it too, and held its caller's reader up for each write.
-func TestStrayHangUpsDoNotWaitForSwitches(t *testing.T) {
+func TestUnknownHangUpsDoNotWaitForSwitches(t *testing.T) {
 	c, f := newCore(t)
 	f.stuck = make(chan struct{})
 	list(c, false, Member{ID: "a", Addr: "x", Number: 1})
@@ -240,7 +256,7 @@
 		list(c, false, Member{ID: "a", Addr: "x", Number: 1})
 		offer(t, c, f, 1, 1)
 		f.want(t, f.sent, "a set-up")
-		c.Answered("a", 1, []byte("d"))
+		peerOf(t, c, "a").Answered(1, []byte("d"))
 		f.want(t, f.told, "answer d")
 		if hungUp {
 			c.Leave(1)
@@ -271,7 +287,7 @@
 			k := newCall(c, &SetUp{ID: id, Number: "100", Dest: n, Width: 1, Deadline: time.Now().Add(15 * time.Second)}, f)
 			c.mu.Lock()
 			c.calls[id], c.names[k.name] = k, k
-			c.owed++
+			c.unanswered++
 			c.mu.Unlock()
 			k.leave()
 			c.serve(k)
--- a/internal/core/observe.go
+++ b/internal/core/observe.go
@@ -41,6 +41,15 @@
 		"switch_removed", "switch_restarted", "shutdown", "left_to_next", "not_delivered"}[r]
 }
 
+// judgedHere says whether the switch did not say so itself and may not know it.
+func (r EndReason) judgedHere() bool {
+	switch r {
+	case EndUnreachable, EndRemoved, EndRestarted, EndShutdown:
+		return true
+	}
+	return false
+}
+
 // Observer is told what becomes of calls. Its methods must not block and may be
 // called by several goroutines, also under the core's lock.
 type Observer interface {
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -49,6 +49,7 @@
 	ReleaseAcknowledged   = "acknowledged"
 	ReleaseUnacknowledged = "unacknowledged"
 	ReleaseNoConnection   = "no_connection"
+	ReleaseNoRoom         = "no_room"
 )
 
 // Labels of Set.Polls: how a call to discovery went.
--- a/internal/platform/caller.go
+++ b/internal/platform/caller.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"io"
 	"net"
-	"os"
 	"sync"
 	"time"
 
@@ -23,17 +22,22 @@
 	born    time.Time
 
 	// Under front.mu:
-	open    map[uint64]bool // set-ups taken here and not answered
-	asked   bool            // something usable came
-	trusted bool            // a call was set up for it
-	evicted bool            // closed to make room: a set-up that crosses that comes again
-	hears   bool            // it acknowledged a release
-	bad     int             // messages that asked for nothing usable, since a usable one
-	last    time.Time       // when something usable came, or it began
+	open         map[uint64]bool // set-ups taken here and not answered
+	answering    int             // answers being written
+	standing     map[uint64]bool // calls that were answered here and are not over
+	asked        bool            // something usable came
+	trusted      bool            // a call was set up for it
+	acknowledges bool            // it acknowledged a release
+	awaiting     bool            // its reader waits for a message to begin
+	closing      bool            // to be closed once what was written to it is answered
+	closeBy      time.Time       // ... at this time at the latest
+	evicted      bool            // closed to make room
+	bad          int             // messages that asked for nothing usable, since a usable one
+	last         time.Time       // when something usable came, or it began
 }
 
 func newConn(f *Front, nc net.Conn, at time.Time) *conn {
-	return &conn{front: f, Conn: nc, born: at, last: at, open: map[uint64]bool{}}
+	return &conn{front: f, Conn: nc, born: at, last: at, open: map[uint64]bool{}, standing: map[uint64]bool{}}
 }
 
 // read takes in messages until the connection ends. The set-ups still open on it
@@ -44,19 +48,8 @@
 	var err error
 	for err == nil {
 		var m sig.Message
-		until := time.Now().Add(f.idle)
-		asked := c.hasAsked()
-		if !asked {
-			until = c.born.Add(f.silent)
-		}
-		if err = begun(c.Conn, in, until); errors.Is(err, os.ErrDeadlineExceeded) {
-			if err = nil; c.owes() || asked != c.hasAsked() {
-				continue
-			}
-			err = errSilent
-		}
-		if err == nil {
-			m, err = finish(c.Conn, in, f.rest)
+		if err = c.await(in); err == nil {
+			m, err = finish(c.Conn, in, c.messageTimeout())
 		}
 		if err == nil {
 			err = c.take(&m, time.Now())
@@ -69,6 +62,10 @@
 		f.Log.Warn("connection from a caller broke", "addr", c.RemoteAddr(), "error", err, "open", len(c.open))
 	}
 	delete(f.conns, c)
+	c.closing = true // no release is sent here any more
+	for id := range c.standing {
+		delete(f.stands, id)
+	}
 	open := c.open
 	c.open = map[uint64]bool{}
 	for id := range open {
@@ -83,7 +80,17 @@
 		}
 	}
 	c.Close()
-	f.ended(c)
+	f.sendElsewhere(c)
+}
+
+// messageTimeout is how long a message that has begun may take.
+func (c *conn) messageTimeout() time.Duration {
+	c.front.mu.Lock()
+	defer c.front.mu.Unlock()
+	if c.closing {
+		return min(c.front.rest, time.Until(c.closeBy))
+	}
+	return c.front.rest
 }
 
 var errSilent = errors.New("silent for too long")
@@ -93,14 +100,14 @@
 	switch {
 	case c.evicted:
 		return metrics.CallerEvicted
+	case errors.Is(err, errClosedHere):
+		return metrics.CallerDrained
 	case errors.Is(err, errSilent):
 		return metrics.CallerSilent
 	case errors.Is(err, sig.ErrMalformed):
 		return metrics.CallerMalformed
 	case errors.Is(err, io.EOF):
 		return metrics.CallerClosed
-	case errors.Is(err, net.ErrClosed):
-		return metrics.CallerDrained
 	}
 	return metrics.CallerBroken
 }
@@ -111,8 +118,8 @@
 	return c.asked
 }
 
-// owes says whether a set-up that came on the connection waits for its answer.
-func (c *conn) owes() bool {
+// hasOpen says whether a set-up that came on the connection waits for its answer.
+func (c *conn) hasOpen() bool {
 	c.front.mu.Lock()
 	defer c.front.mu.Unlock()
 	return len(c.open) > 0
@@ -144,6 +151,7 @@
 // ends the connection.
 func (c *conn) take(m *sig.Message, at time.Time) error {
 	f := c.front
+	defer f.answeredHere(c)
 	switch m.Type {
 	case sig.SetUp:
 		return c.setUp(m, at)
@@ -159,11 +167,12 @@
 			c.usable()
 		}
 		_ = c.send(&sig.Message{Type: sig.Heard, Call: m.Call})
+		f.hungUp(m.Call)
 		if owner != nil && owner != c {
 			return c.unusable(errors.New("a release of a set-up that is open elsewhere"))
 		}
 	case sig.Heard:
-		if f.heard(c, m.Call) {
+		if f.acknowledged(c, m.Call) {
 			c.usable()
 		}
 	case sig.Test:
@@ -199,8 +208,6 @@
 		f.mu.Unlock()
 	}
 	switch {
-	case errors.Is(err, net.ErrClosed):
-		return err
 	case errors.Is(err, errTwice):
 		// Which of the two an answer is for can't be told: neither is passed on.
 		return fmt.Errorf("%w: %w", sig.ErrMalformed, err)
@@ -219,13 +226,11 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	switch owner := f.owner[id]; {
-	case c.evicted:
-		return net.ErrClosed
 	case owner == c:
 		return errTwice
 	case owner != nil:
 		return errTaken
-	case len(f.owner) >= f.MaxOpen:
+	case c.evicted, len(f.owner) >= f.MaxOpen:
 		return core.ErrBusy
 	case !c.trusted && (len(c.open) >= untrustedOpen || f.doubtful >= max(1, f.MaxOpen/untrustedPart)):
 		return core.ErrBusy
@@ -253,7 +258,7 @@
 
 // Answer implements core.Caller, as do Refuse, Fail and Release.
 func (c *conn) Answer(id uint64, description []byte) error {
-	err := c.answer(id, sig.Message{Type: sig.Answer, Call: id,
+	err := c.answer(id, true, sig.Message{Type: sig.Answer, Call: id,
 		Params: []sig.Param{{Code: sig.ParamDescription, Value: description}}})
 	if err == nil {
 		c.trust()
@@ -273,24 +278,66 @@
 
 // Refuse turns a call away. The protocol has no word for when to come back.
 func (c *conn) Refuse(id uint64, _ time.Duration) {
-	_ = c.answer(id, sig.WithCause(sig.Release, id, sig.CauseCongestion))
+	_ = c.answer(id, false, sig.WithCause(sig.Release, id, sig.CauseCongestion))
 }
 
 // Fail says that a call failed.
-func (c *conn) Fail(id uint64) { _ = c.answer(id, sig.WithCause(sig.Release, id, sig.CauseTemporary)) }
+func (c *conn) Fail(id uint64) {
+	_ = c.answer(id, false, sig.WithCause(sig.Release, id, sig.CauseTemporary))
+}
 
 var errGone = errors.New("the set-up is not open any more")
 
-// answer gives a set-up its final answer, unless it was given up.
-func (c *conn) answer(id uint64, m sig.Message) error {
+// answer gives a set-up its final answer, unless it was given up. With stands, the call
+// stands from then on.
+func (c *conn) answer(id uint64, stands bool, m sig.Message) error {
 	f := c.front
 	f.mu.Lock()
 	open := f.disown(c, id)
+	if open {
+		c.answering++
+	}
+	if open && stands {
+		f.stands[id], c.standing[id] = c, true // before the write: it may be hung up at once
+	}
 	f.mu.Unlock()
 	if !open {
 		return errGone
 	}
-	return c.send(&m)
+	err := c.send(&m)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	c.answering--
+	if err != nil {
+		f.noLongerStands(id)
+	}
+	f.closeIfDone(c)
+	return err
+}
+
+// noLongerStands notes that a call that stood is over. The lock is held.
+func (f *Front) noLongerStands(id uint64) {
+	c := f.stands[id]
+	if c == nil {
+		return
+	}
+	delete(f.stands, id)
+	delete(c.standing, id)
+	f.closeIfDone(c)
+}
+
+// hungUp notes that a caller ended a call, or gave its set-up up.
+func (f *Front) hungUp(id uint64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.noLongerStands(id)
+}
+
+// answeredHere closes a connection of a front that drains if nothing is left on it.
+func (f *Front) answeredHere(c *conn) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.closeIfDone(c)
 }
 
 // send writes one message whole, or closes the connection.
--- a/internal/platform/channel.go
+++ b/internal/platform/channel.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"net"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -23,11 +24,20 @@
 // time after the wait that was asked for, or at once if it is asked again; so the
 // wait is short, and a poll that outlasts it is ended and asked anew.
 const (
-	pollBlock    = time.Second
-	pollTimeout  = pollBlock + 500*time.Millisecond
-	maxEventsLen = 4 << 20
-	channelFirst = 20 * time.Millisecond
-	channelMost  = 500 * time.Millisecond
+	pollBlock    = time.Second            // how long a reply may wait for events
+	pollPatience = 500 * time.Millisecond // what it may take beyond that
+	// A channel that is slow or crowded answers later. Once a poll was given up, the next
+	// asks for what there is now, and those after it may take longer than at first. A
+	// change counts as told 2 s after the end of the wait that was asked for.
+	pollPatienceMost = 1900 * time.Millisecond
+	channelDial      = time.Second
+	maxEventsLen     = 4 << 20
+	channelFirst     = 20 * time.Millisecond
+	channelMost      = 500 * time.Millisecond
+	// emptyMost bounds the pause after a reply that came at once without events: what is
+	// told in that time counts as told, and set-ups stop 0.5 s after.
+	emptyMost = 200 * time.Millisecond
+	maxMoves  = 16 // configurations that were read and whose events were not taken
 )
 
 // Channel follows the command channel's list of switches.
@@ -36,16 +46,23 @@
 	List  func(core.List)
 	Log   *slog.Logger
 	Count *metrics.Set
+	// Missing is called after each poll that failed: the list may be old.
+	Missing func()
 
-	cursor int64 // the last event taken; the follower's own
-	mu     sync.Mutex
-	moved  *Events            // what Move brought and the follower has not taken; under mu, as Addr is
-	stop   context.CancelFunc // ends the poll that runs; under mu
+	cursor   int64         // the last event taken; the follower's own
+	patience time.Duration // of the next poll; the follower's own
+	failed   int           // polls in a row that failed; the follower's own
+
+	mu    sync.Mutex
+	moved []*Events          // what Move brought and the follower has not taken; under mu, as Addr is
+	stop  context.CancelFunc // ends the poll that runs; under mu
+	wake  chan struct{}      // has a value after Move
 }
 
 // NewChannel makes a channel that List hears of.
 func NewChannel(addr string, list func(core.List), log *slog.Logger, count *metrics.Set) *Channel {
-	return &Channel{Addr: addr, List: list, Log: log, Count: count, stop: func() {}}
+	return &Channel{Addr: addr, List: list, Log: log, Count: count, Missing: func() {}, patience: pollPatience,
+		stop: func() {}, wake: make(chan struct{}, 1)}
 }
 
 // Events are events in the channel's form, read and checked.
@@ -132,70 +149,133 @@
 	if addr != c.Addr {
 		c.Log.Info("command channel moved", "addr", addr)
 	}
-	c.Addr, c.moved = addr, known
+	c.Addr = addr
+	if len(c.moved) < maxMoves {
+		c.moved = append(c.moved, known)
+	}
 	c.stop()
+	select {
+	case c.wake <- struct{}{}:
+	default:
+	}
 }
 
-// next takes in what Move brought and returns where and how long to ask.
-func (c *Channel) next(ctx context.Context) (string, context.Context, context.CancelFunc) {
+// next takes in what Move brought and returns where to ask, for how long a wait, and the
+// poll's context.
+func (c *Channel) next(ctx context.Context) (string, time.Duration, context.Context, context.CancelFunc) {
 	c.mu.Lock()
 	addr, known := c.Addr, c.moved
 	c.moved = nil
-	ctx, c.stop = context.WithTimeout(ctx, pollTimeout)
+	select {
+	case <-c.wake:
+	default:
+	}
+	block := pollBlock
+	if c.failed > 0 {
+		block = 0
+	}
+	ctx, c.stop = context.WithTimeout(ctx, block+c.patience)
 	stop := c.stop
 	c.mu.Unlock()
-	if known != nil {
-		c.Take(known)
+	for _, events := range known {
+		c.Take(events)
 	}
-	return addr, ctx, stop
+	return addr, block, ctx, stop
 }
 
 // hasMoved says whether Move was called since the poll began.
 func (c *Channel) hasMoved() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.moved != nil
+	return len(c.moved) > 0
 }
 
 var errEmpty = errors.New("a reply without events, well before the wait asked for")
 
 // Follow asks for new events until the context ends.
 func (c *Channel) Follow(ctx context.Context) error {
-	tr := &http.Transport{MaxIdleConns: 1, MaxConnsPerHost: 2, DisableCompression: true}
+	// A dial has a limit of its own, and there is no limit on connections: a dial to a
+	// channel that is cut off outlives its poll, and would keep the next ones waiting.
+	dialer := net.Dialer{Timeout: channelDial}
+	tr := &http.Transport{MaxIdleConns: 1, DisableCompression: true, DialContext: dialer.DialContext}
 	defer tr.CloseIdleConnections()
 	client := &http.Client{Transport: tr}
 	gap := channelFirst
 	for ctx.Err() == nil {
-		asked, had := time.Now(), c.cursor
+		asked, had, again := time.Now(), c.cursor, c.failed > 0
 		err := c.poll(ctx, client)
-		if err == nil && c.cursor == had && time.Since(asked) < pollBlock/2 {
+		took := time.Since(asked)
+		if err == nil && c.cursor == had && took < pollBlock/2 && !again {
 			err = errEmpty // asked again at once, it would be asked without end
 		}
-		moved := c.hasMoved()
-		c.Count.Polls.WithLabelValues(pollResult(err, c.cursor > had, moved)).Inc()
-		if err == nil {
-			gap = channelFirst
-			continue
-		}
 		if ctx.Err() != nil {
 			break
 		}
-		if moved {
+		moved := c.hasMoved()
+		c.Count.Polls.WithLabelValues(pollResult(err, c.cursor > had, moved)).Inc()
+		if err == nil || moved {
 			gap = channelFirst
+			if err == nil {
+				c.pollSucceeded(again, took)
+			}
 			continue
 		}
-		c.Log.Warn("command channel", "error", err)
-		again := time.NewTimer(gap)
-		select {
-		case <-again.C:
-		case <-ctx.Done():
-			again.Stop()
+		most := channelMost
+		if errors.Is(err, errEmpty) {
+			most = emptyMost
+		} else {
+			c.pollFailed(err, addressOf(c))
 		}
-		gap = min(2*gap, channelMost)
+		// The pause counts from when it was asked: one that took long is asked again at once.
+		c.pause(ctx, time.Until(asked.Add(gap)))
+		gap = min(2*gap, most)
 	}
 	return nil
 }
 
+// pause waits for some time, or until Move is called or the context ends.
+func (c *Channel) pause(ctx context.Context, d time.Duration) {
+	again := time.NewTimer(d)
+	defer again.Stop()
+	select {
+	case <-again.C:
+	case <-c.wake:
+	case <-ctx.Done():
+	}
+}
+
+// pollSucceeded notes a poll that brought a reply. One that came quickly shows that the
+// channel is not slow any more.
+func (c *Channel) pollSucceeded(again bool, took time.Duration) {
+	if c.failed > 0 {
+		c.Log.Info("command channel answers again", "failed", c.failed)
+	}
+	c.failed = 0
+	if again && took < pollPatience/2 || !again && took < pollBlock+pollPatience/2 {
+		c.patience = pollPatience
+	}
+}
+
+// pollFailed notes a poll that failed. The next one may take longer if this one was
+// given up.
+func (c *Channel) pollFailed(err error, addr string) {
+	c.failed++
+	if c.failed == 1 { // the others are counted
+		c.Log.Warn("command channel", "addr", addr, "error", err)
+	}
+	var dial *net.OpError
+	if errors.Is(err, context.DeadlineExceeded) && !(errors.As(err, &dial) && dial.Op == "dial") {
+		c.patience = pollPatienceMost
+	}
+	c.Missing()
+}
+
+func addressOf(c *Channel) string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.Addr
+}
+
 // pollResult is the metrics label of a poll.
 func pollResult(err error, news, moved bool) string {
 	switch {
@@ -212,9 +292,9 @@
 }
 
 func (c *Channel) poll(ctx context.Context, client *http.Client) error {
-	addr, ctx, cancel := c.next(ctx)
+	addr, block, ctx, cancel := c.next(ctx)
 	defer cancel()
-	q := url.Values{"resume": {strconv.FormatInt(c.cursor, 10)}, "block": {strconv.FormatInt(pollBlock.Milliseconds(), 10)}}
+	q := url.Values{"resume": {strconv.FormatInt(c.cursor, 10)}, "block": {strconv.FormatInt(block.Milliseconds(), 10)}}
 	u := url.URL{Scheme: "http", Host: addr, Path: "/cmd/next", RawQuery: q.Encode()}
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, u.String(), nil)
 	if err != nil {
--- a/internal/platform/front.go
+++ b/internal/platform/front.go
@@ -42,21 +42,23 @@
 
 	silent, idle, rest time.Duration
 
-	mu       sync.Mutex
-	conns    map[*conn]bool
-	owner    map[uint64]*conn // of every open set-up
-	doubtful int              // open set-ups of connections that are not trusted
-	partings map[uint64]*parting
-	hears    bool // some caller acknowledges releases
-	closed   bool
-	wg       sync.WaitGroup // readers and partings; grows under mu while not closed
+	mu           sync.Mutex
+	conns        map[*conn]bool
+	owner        map[uint64]*conn // of every open set-up
+	doubtful     int              // open set-ups of connections that are not trusted
+	stands       map[uint64]*conn // of every call that was answered and is not over
+	releases     map[uint64]*pendingRelease
+	acknowledges bool // some caller acknowledges releases
+	draining     bool
+	closed       bool
+	wg           sync.WaitGroup // readers and releases; grows under mu while not closed
 }
 
 // NewFront makes a front. Its Calls may be set later, but before Serve.
 func NewFront(form Form, maxConns, maxOpen int, log *slog.Logger, count *metrics.Set) *Front {
 	return &Front{Form: form, MaxConns: maxConns, MaxOpen: maxOpen, Log: log, Count: count,
 		silent: callerSilent, idle: callerIdle, rest: callerRest,
-		conns: map[*conn]bool{}, owner: map[uint64]*conn{}, partings: map[uint64]*parting{}}
+		conns: map[*conn]bool{}, owner: map[uint64]*conn{}, stands: map[uint64]*conn{}, releases: map[uint64]*pendingRelease{}}
 }
 
 // Serve accepts connections until the listener closes.
@@ -93,9 +95,9 @@
 			f.Count.CallerConnsClosed.WithLabelValues(metrics.CallerNoRoom).Inc()
 			return false
 		}
-		delete(f.conns, out) // its reader finds it closed and does the rest
+		delete(f.conns, out)
 		out.evicted = true
-		out.Close()
+		out.beginClose()
 	}
 	f.conns[c] = true
 	f.wg.Go(c.read)
@@ -113,7 +115,7 @@
 	young := time.Now().Add(-f.silent / 10)
 	for c := range f.conns {
 		switch {
-		case len(c.open) > 0:
+		case c.closing || len(c.open)+c.answering > 0:
 		case !c.asked && (c.last.Before(young)) && (mute == nil || c.last.Before(mute.last)):
 			mute = c
 		case idle == nil || c.last.Before(idle.last):
@@ -133,17 +135,26 @@
 	return len(f.conns)
 }
 
-// Close closes every connection and waits for their readers.
+// Close closes every connection, once what was written to it is read and answered, and
+// waits for their readers.
 func (f *Front) Close() {
 	f.mu.Lock()
-	f.closed = true
+	f.closed, f.draining = true, true
+	var all []*conn
 	for c := range f.conns {
-		c.Close()
+		c.beginClose()
+		all = append(all, c)
 	}
-	for _, p := range f.partings {
-		p.timer.Reset(0) // it finds the front closed
+	for _, r := range f.releases {
+		r.timer.Reset(0) // it finds the front closed
 	}
 	f.mu.Unlock()
+	force := time.AfterFunc(closingLimit, func() {
+		for _, c := range all {
+			c.Close()
+		}
+	})
+	defer force.Stop()
 	f.wg.Wait()
 }
 
--- a/internal/platform/front_test.go
+++ b/internal/platform/front_test.go
@@ -188,7 +188,7 @@
 		t.Errorf("got %q, want the release that was not acknowledged", got)
 	}
 	say(t, b, sig.Message{Type: sig.Heard, Call: 2})
-	f.Parted(t.Context())
+	f.WaitForReleases(t.Context())
 }
 
 // Guards against callers that hold a descriptor for good: silent ones, and
--- a/internal/platform/link.go
+++ b/internal/platform/link.go
@@ -5,6 +5,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"strconv"
@@ -18,14 +19,14 @@
 
 const readBuffer = 1 << 10 // longer messages are read past it
 
-// begun waits for the first byte of a message; without a limit if until is zero.
+// begun waits for the first byte of a message, without a limit.
 // Here and in finish a deadline that can't be set is no error: the connection
 // has been closed, and what was read before that still counts.
-func begun(c net.Conn, in *bufio.Reader, until time.Time) error {
+func begun(c net.Conn, in *bufio.Reader) error {
 	if in.Buffered() > 0 {
 		return nil
 	}
-	_ = c.SetReadDeadline(until)
+	_ = c.SetReadDeadline(time.Time{})
 	_, err := in.Peek(1)
 	return err
 }
@@ -56,10 +57,10 @@
 // message that no switch sends: a spoilt answer may look like one, and nothing
 // comes on its connection any more though it stays open.
 func (c *switchConn) Read() (trunk.Event, error) {
-	if err := begun(c.Conn, c.in, time.Time{}); err != nil {
+	if err := begun(c.Conn, c.in); err != nil {
 		return trunk.Event{}, err
 	}
-	m, err := finish(c.Conn, c.in, trunk.MessageRest)
+	m, err := finish(c.Conn, c.in, trunk.MessageTimeout)
 	if err != nil {
 		return trunk.Event{}, err
 	}
@@ -100,11 +101,25 @@
 	return c.send(sig.WithCause(sig.Release, id, sig.CauseNormal))
 }
 
-func (c *switchConn) Heard(id uint64) error {
+// AcknowledgeRelease says that a release was heard.
+func (c *switchConn) AcknowledgeRelease(id uint64) error {
 	return c.send(sig.Message{Type: sig.Heard, Call: id})
 }
 
-func (c *switchConn) Passed(id uint64) error { return c.send(sig.WithCause(sig.Tested, id, 1)) }
+// ReplyToTest says that a test has passed.
+func (c *switchConn) ReplyToTest(id uint64) error { return c.send(sig.WithCause(sig.Tested, id, 1)) }
+
+// CloseWrite says that nothing more will be written.
+func (c *switchConn) CloseWrite() error { return closeWrite(c.Conn) }
+
+// closeWrite ends one direction of a connection.
+func closeWrite(c net.Conn) error {
+	half, ok := c.(interface{ CloseWrite() error })
+	if !ok {
+		return errors.ErrUnsupported
+	}
+	return half.CloseWrite()
+}
 
 func (c *switchConn) send(m sig.Message) error { return write(c.Conn, &m, trunk.WriteTimeout) }
 
--- a/internal/proxy/observe.go
+++ b/internal/proxy/observe.go
@@ -32,8 +32,8 @@
 // gauges registers the figures that are asked for.
 func (p *Proxy) gauges() {
 	p.count.Gauge("violetspan_calls_unanswered", "Calls that wait for their final answer.", func() float64 {
-		owed, _ := p.core.Counts()
-		return float64(owed)
+		unanswered, _ := p.core.Counts()
+		return float64(unanswered)
 	})
 	p.count.Gauge("violetspan_calls_standing", "Calls that stand.", func() float64 {
 		_, standing := p.core.Counts()
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -10,6 +10,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -47,12 +48,17 @@
 }
 
 // How long the phases after the order to stop last. The platform sends new
-// calls for 0.6 s after it, and kills no sooner than 3.7 s after it. Exiting
-// with an answer owed loses the call; staying on until the kill does not.
+// calls for 0.6 s after it. It kills at the earliest when the longest deadline, counted as
+// killDeadline where it is longer, and killAfter have passed; until then its callers use
+// the connections that are open. Exiting with an answer owed loses the call, and so does a
+// kill that finds a late one unanswered.
 const (
-	graceFor  = 700 * time.Millisecond
-	finishFor = 2700 * time.Millisecond // for releases of what stands
-	answerFor = 65 * time.Second        // for answers; clients of the call API wait for a minute at most
+	graceFor     = 700 * time.Millisecond
+	killDeadline = 3 * time.Second
+	killAfter    = 700 * time.Millisecond
+	exitBefore   = 350 * time.Millisecond // the last connection is closed so long before the kill
+	unprovenFor  = 250 * time.Millisecond // for telling callers of calls that may be over, before that
+	answerFor    = 65 * time.Second       // for answers; clients of the call API wait for a minute at most
 )
 
 const (
@@ -112,7 +118,7 @@
 
 // Run serves until the context ends, then finishes what was taken. Each value
 // on hup reloads the configuration and the inventory. It calls ready, if given, once it serves.
-func (p *Proxy) Run(ctx context.Context, hup <-chan struct{}, ready func()) error {
+func (p *Proxy) Run(ctx context.Context, hup <-chan os.Signal, ready func()) error {
 	p.enter(Starting)
 	defer p.enter(Stopped)
 	base, end := context.WithCancel(context.WithoutCancel(ctx))
@@ -132,9 +138,7 @@
 	for {
 		select {
 		case <-hup:
-			if err := p.Reload(); err != nil {
-				p.log.Error("configuration not reloaded", "error", err)
-			}
+			p.reloadIfAsked()
 		case <-ctx.Done():
 			break serving
 		case <-life.Done(): // a part failed: its error is the group's
@@ -143,30 +147,107 @@
 	}
 
 	p.enter(Grace)
-	grace := time.NewTimer(graceFor)
-	select {
-	case <-grace.C:
-	case <-life.Done():
-	}
+	exit := time.Now().Add(p.longestDeadline() + killAfter - exitBefore)
+	p.core.Caution() // what stands at silent switches is verified before nobody knows of it
+	p.serveFor(life, hup, graceFor)
 
 	p.enter(Finishing)
 	p.core.Stop()
-	finish := time.Now().Add(finishFor)
+	if p.front != nil {
+		p.front.Drain()
+	}
+	stopReloads := p.reloadOn(life, hup)
+	p.finish(life, exit)
+	stopReloads()
+	stop()
+	end()
+	return g.Wait()
+}
+
+// longestDeadline is the longest that a call's caller waits, as the platform counts it.
+func (p *Proxy) longestDeadline() time.Duration {
+	longest := time.Duration(0)
+	set := p.settingsInForce()
+	for _, class := range set.Brain.Classes {
+		longest = max(longest, class.Deadline)
+	}
+	return min(longest, killDeadline)
+}
+
+// settingsInForce are the platform's settings, or without it the service's.
+func (p *Proxy) settingsInForce() *config.Settings {
+	if p.platform != nil {
+		return &p.platform.Settings
+	}
+	return p.service.Settings
+}
+
+// reloadIfAsked reloads, and logs why it could not.
+func (p *Proxy) reloadIfAsked() {
+	if err := p.Reload(); err != nil {
+		p.log.Error("configuration not reloaded", "error", err)
+	}
+}
+
+// serveFor goes on serving for some time. The configuration may change in it too.
+func (p *Proxy) serveFor(life context.Context, hup <-chan os.Signal, d time.Duration) {
+	grace := time.NewTimer(d)
+	defer grace.Stop()
+	for {
+		select {
+		case <-hup:
+			p.reloadIfAsked()
+		case <-grace.C:
+			return
+		case <-life.Done():
+			return
+		}
+	}
+}
+
+// reloadOn reloads on each value of hup until the function that it returns is called.
+func (p *Proxy) reloadOn(life context.Context, hup <-chan os.Signal) (stop func()) {
+	ctx, cancel := context.WithCancel(life)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for {
+			select {
+			case <-hup:
+				p.reloadIfAsked()
+			case <-ctx.Done():
+				return
+			}
+		}
+	}()
+	return func() {
+		cancel()
+		<-done
+	}
+}
+
+// finish gives the final answers, and passes on the releases that come until it is time to
+// exit. What stands then is left to the next proxy, which passes on its release; but not
+// what stands at a switch that may be gone, of which no release will come.
+func (p *Proxy) finish(life context.Context, exit time.Time) {
 	answers, cancel := context.WithTimeout(life, answerFor)
 	defer cancel()
-	err = p.core.Settle(answers, false)
-	releases, cancel := context.WithDeadline(life, finish)
+	err := p.core.Settle(answers, false)
+	releases, cancel := context.WithDeadline(life, exit.Add(-unprovenFor))
+	defer cancel()
+	_ = p.core.Settle(releases, true) // what is left is told below
+	last, cancel := context.WithDeadline(life, exit)
 	defer cancel()
-	if err = errors.Join(err, p.core.Settle(releases, true)); err != nil {
-		owed, standing := p.core.Counts()
-		p.log.Info("calls left at the end", "owed", owed, "standing", standing)
+	p.core.EndUnproven(last)
+	if unanswered, standing := p.core.Counts(); unanswered+standing > 0 {
+		p.log.Info("calls left at the end", "unanswered", unanswered, "standing", standing)
 	}
 	if p.front != nil {
-		p.front.Parted(releases)
+		p.front.WaitForReleases(last)
+	}
+	if err != nil && life.Err() == nil {
+		p.log.Error("calls are left without an answer", "error", err)
 	}
-	stop()
-	end()
-	return g.Wait()
 }
 
 // start opens what the configuration asks for. The function that it returns
@@ -206,6 +287,7 @@
 			return stop, fmt.Errorf("key known: %w", err)
 		}
 		p.channel = platform.NewChannel(pf.Channel, p.core.List, p.log, p.count)
+		p.channel.Missing = p.core.Caution
 		p.channel.Take(known)
 		ln, err := platform.Listen(life, pf.Listen)
 		if err != nil {
@@ -263,21 +345,21 @@
 		set, opt.Seed = &pf.Settings, pf.Seed
 		bounds := pf.Bounds()
 		p.front = platform.NewFront(form(set), bounds.Conns, bounds.Open, p.log, p.count)
-		opt.Orphan, opt.MaxCalls = p.front.Orphan, bounds.Calls
+		opt.UnknownRelease, opt.MaxCalls = p.front.UnknownRelease, bounds.Calls
 	} else {
 		set, opt.Seed = p.service.Settings, uint64(time.Now().UnixNano())
 		opt.MaxCalls = min(set.OpenCap, maxCalls)
 	}
 	opt.Settings = set.Brain
 	times := trunk.Times{Dial: set.DialTimeout, Silence: set.Silence()}
-	opt.Open = func(m core.Member) (core.Link, error) {
-		dial := platform.Dial
+	opt.Open = func(m core.Member, peer *core.Peer) (core.Link, error) {
+		dial := trunk.Dial(platform.Dial)
 		if inventory.IsURL(m.Addr) {
 			dial = callapi.Dial
 		} else if _, _, err := net.SplitHostPort(m.Addr); err != nil {
 			return nil, err
 		}
-		return trunk.New(life, m, p.core, times, p.log, p.count, dial), nil
+		return trunk.New(life, m, peer, times, p.log, p.count, dial), nil
 	}
 	return set, opt
 }
@@ -380,7 +462,7 @@
 		return fmt.Errorf("%s: %w", p.service.Inventory, err)
 	}
 	p.cert.Store(cert)
-	p.core.List(core.List{Source: "inventory", Full: true, Members: inv.Switches, Gentle: true})
+	p.core.List(core.List{Source: "inventory", Full: true, Members: inv.Switches, Graceful: true})
 	if p.planner != nil {
 		ids := map[int]string{}
 		for _, m := range inv.Switches {
@@ -397,6 +479,6 @@
 }
 
 func (p *Proxy) status() admin.Status {
-	owed, standing := p.core.Counts()
-	return admin.Status{Phase: p.Phase().String(), Owed: owed, Standing: standing}
+	unanswered, standing := p.core.Counts()
+	return admin.Status{Phase: p.Phase().String(), Unanswered: unanswered, Standing: standing}
 }
--- a/internal/proxy/script_test.go
+++ b/internal/proxy/script_test.go
@@ -15,6 +15,8 @@
 	"path/filepath"
 	"regexp"
 	"strings"
+	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -51,9 +53,9 @@
 	done     chan error
 	events   chan string
 	cursor   int
-	config   func() []byte // the configuration, with a new channel
-	file     []byte        // ... as SIGHUP finds it
-	hup      chan struct{}
+	config   func() []byte          // the configuration, with a new channel
+	file     atomic.Pointer[[]byte] // ... as SIGHUP finds it
+	hup      chan os.Signal
 	callers  map[string]net.Conn
 	switches map[string]*standIn
 	clients  map[string]*websocket.Conn
@@ -144,8 +146,9 @@
 		"known":{"cursor":1,"cmds":[{"cursor":1,"nodes":{"complete":true,"members":[%s]}}]},"settings":%s}`,
 			s.newChannel(), strings.Join(members, ","), settings)
 	}
-	s.file = s.config()
-	pf, err := config.Parse(s.file)
+	first := s.config()
+	s.file.Store(&first)
+	pf, err := config.Parse(first)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -187,8 +190,8 @@
 	if s.p, err = New(pf, sv, slog.New(slog.DiscardHandler)); err != nil {
 		s.t.Fatal(err)
 	}
-	s.hup = make(chan struct{})
-	s.p.Reread = func() (*config.Platform, error) { return config.Parse(s.file) }
+	s.hup = make(chan os.Signal)
+	s.p.Reread = func() (*config.Platform, error) { return config.Parse(*s.file.Load()) }
 	ctx, term := context.WithCancel(context.Background())
 	s.term, s.done = term, make(chan error, 1)
 	ready := make(chan struct{})
@@ -362,11 +365,12 @@
 		s.term()
 	case name == "hup":
 		told := s.events
-		s.file = s.config()
+		file := s.config()
 		if rest == "bad" {
-			s.file, s.events = bytes.Replace(s.file, []byte(`"seed":"1"`), []byte(`"seed":"green"`), 1), told
+			file, s.events = bytes.Replace(file, []byte(`"seed":"1"`), []byte(`"seed":"green"`), 1), told
 		}
-		s.hup <- struct{}{}
+		s.file.Store(&file)
+		s.hup <- syscall.SIGHUP
 	case rest == "close":
 		s.close(who, json)
 	case rest == "refuse":
@@ -446,8 +450,8 @@
 // STANDING", "sockets N" of the tenant acme, "conns N" from callers.
 func (s *script) sync(ctx context.Context, what string) {
 	for {
-		owed, standing := s.p.core.Counts()
-		now := []string{fmt.Sprintf("calls %d %d", owed, standing)}
+		unanswered, standing := s.p.core.Counts()
+		now := []string{fmt.Sprintf("calls %d %d", unanswered, standing)}
 		acme, _ := s.p.tenants.Get("acme")
 		now = append(now, fmt.Sprintf("sockets %d", acme.Sockets), fmt.Sprintf("conns %d", s.p.front.Conns()))
 		states := map[string]string{}
--- a/internal/soak/incident_test.go
+++ b/internal/soak/incident_test.go
@@ -87,11 +87,8 @@
 				}
 			}
 			w.Discovery.Down()
-			stood := 0
 			for _, n := range []int{2, 3} {
-				s := w.Switch(n)
-				stood += s.Standing()
-				if err := s.Vanish(); err != nil {
+				if err := w.Switch(n).Vanish(); err != nil {
 					t.Fatal(err)
 				}
 			}
@@ -101,11 +98,11 @@
 					c.Stop()
 				}
 			}
-			if stood < 10 {
-				t.Errorf("%d calls stood at the switches that vanished: too few to say anything", stood)
+			if counts := verdict(t, w); counts["told over"] < 10 {
+				t.Errorf("%d callers were told: too few to say anything", counts["told over"])
 			}
-			if counts := verdict(t, w); counts["told over"] < stood {
-				t.Errorf("%d callers were told, %d calls were over", counts["told over"], stood)
+			if n := w.Ledger.Untold(); n > 0 {
+				t.Errorf("%d calls are over and their callers were not told", n)
 			}
 		})
 	}
--- a/internal/standin/ledger.go
+++ b/internal/standin/ledger.go
@@ -298,6 +298,19 @@
 	return n
 }
 
+// Untold is how many calls are over and their callers, who know that they stood, were not
+// told.
+func (l *Ledger) Untold() (n int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, e := range l.calls {
+		if e.stands && !e.told && !e.overAt.IsZero() {
+			n++
+		}
+	}
+	return n
+}
+
 // Result returns the faults, and counts of what happened.
 func (l *Ledger) Result() (faults []string, counts map[string]int) {
 	l.mu.Lock()
--- /dev/null
+++ b/internal/trunk/link.go
@@ -0,0 +1,517 @@
+package trunk
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"slices"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"violetspan.example/violetspan/brain"
+	"violetspan.example/violetspan/decide/liveness"
+	"violetspan.example/violetspan/internal/core"
+	"violetspan.example/violetspan/internal/metrics"
+)
+
+const (
+	redialFirst = 50 * time.Millisecond
+	redialMost  = time.Second
+	verifyPause = 50 * time.Millisecond // between verifications of a switch that is suspected
+	maxPending  = 1024                  // releases kept for a switch without a connection
+)
+
+// Up is what a link tells of its switch.
+type Up interface {
+	Answered(id uint64, description []byte) core.Verdict
+	Ended(id uint64, e core.End)
+	Group(r brain.Report)
+	// CallsOver says that what stood at the switch is over, though the switch did
+	// not say so.
+	CallsOver(why core.EndReason)
+	// EvidenceMissing says that the switch does not answer: others may not either.
+	EvidenceMissing()
+}
+
+// Link keeps one connection to one switch: group states and releases come on
+// it also when nothing is sent. It implements core.Link.
+type Link struct {
+	member core.Member
+	up     Up
+	log    *slog.Logger
+	count  *metrics.Set
+	dial   Dial
+	times  Times
+	ctx    context.Context
+	stop   context.CancelFunc
+	group  errgroup.Group // the keeper and the readers
+	turn   chan struct{}  // held by whoever dials
+	wake   chan struct{}  // has a value when the keeper has something to look at
+
+	mu       sync.Mutex // guards all below
+	closed   bool       // no new session
+	leaving  bool       // the switch has gone by the list: another may have its address
+	current  *session   // takes set-ups; nil: no connection
+	sessions map[*session]bool
+	pending  []uint64        // releases to be sent first on the next connection
+	standing map[uint64]bool // calls that stand there, as far as this side knows
+	detector *liveness.Detector
+	state    liveness.State // as logged last
+	watch    *time.Timer    // when the detector is to be asked again
+	verify   bool           // the detector asks for a verification
+	lastDial struct {       // how the last dial went
+		at  time.Time
+		err error
+	}
+}
+
+// New makes a link and starts to connect.
+func New(ctx context.Context, m core.Member, up Up, times Times, log *slog.Logger, count *metrics.Set, dial Dial) *Link {
+	l := &Link{member: m, up: up, log: log.With("switch", m.ID, "addr", m.Addr), count: count, dial: dial, times: times,
+		turn: make(chan struct{}, 1), wake: make(chan struct{}, 1), sessions: map[*session]bool{}, standing: map[uint64]bool{},
+		detector: liveness.New(liveness.Defaults, time.Now())}
+	l.watch = time.AfterFunc(time.Hour, l.check)
+	l.watch.Stop()
+	l.ctx, l.stop = context.WithCancel(ctx)
+	l.group.Go(l.keep)
+	return l
+}
+
+// keep holds a connection up until the link closes, and verifies the switch when the
+// detector asks for that.
+func (l *Link) keep() error {
+	gap := redialFirst
+	for l.ctx.Err() == nil {
+		l.mu.Lock()
+		current, verify, leaving := l.current, l.verify, l.leaving
+		l.mu.Unlock()
+		pause := time.Hour
+		switch {
+		case leaving:
+		case current == nil:
+			if _, err := l.connect(l.ctx); err == nil {
+				gap = redialFirst
+				continue
+			}
+			pause, gap = gap, min(2*gap, redialMost)
+			if verify {
+				pause = verifyPause
+			}
+		case verify:
+			if l.verifyBy(current) == nil {
+				continue
+			}
+			pause = verifyPause
+		}
+		again := time.NewTimer(pause)
+		select {
+		case <-again.C:
+		case <-l.wake:
+		case <-l.ctx.Done():
+		}
+		again.Stop()
+	}
+	return nil
+}
+
+// wakeKeeper makes the keeper look again.
+func (l *Link) wakeKeeper() {
+	select {
+	case l.wake <- struct{}{}:
+	default:
+	}
+}
+
+// verifyBy asks the switch for a sign of life beside a connection that is silent: by a
+// ping where the wire has one, else by another connection, which takes its place.
+func (l *Link) verifyBy(current *session) error {
+	ctx, cancel := context.WithTimeout(l.ctx, l.times.Dial)
+	defer cancel()
+	if p, ok := current.conn.(Pinger); ok {
+		err := p.Ping(ctx)
+		l.verified(err)
+		if err != nil {
+			l.mu.Lock()
+			current.end(metrics.CloseSilent)
+			l.mu.Unlock()
+		}
+		return err
+	}
+	select {
+	case l.turn <- struct{}{}:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	defer func() { <-l.turn }()
+	_, err := l.dialSession()
+	return err
+}
+
+// connect returns the session for set-ups, dialling if there is none. Who waits while
+// another dials takes that dial's result.
+func (l *Link) connect(ctx context.Context) (*session, error) {
+	asked := time.Now()
+	select {
+	case l.turn <- struct{}{}:
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+	defer func() { <-l.turn }()
+	l.mu.Lock()
+	current, last := l.current, l.lastDial
+	l.mu.Unlock()
+	if current != nil {
+		return current, nil
+	}
+	if last.err != nil && last.at.After(asked) {
+		return nil, last.err
+	}
+	return l.dialSession()
+}
+
+// dialSession opens a connection and makes it the one for set-ups. The turn is held.
+func (l *Link) dialSession() (*session, error) {
+	ctx, cancel := context.WithTimeout(l.ctx, l.times.Dial)
+	defer cancel()
+	conn, err := l.dial(ctx, l.member.Addr)
+	if err == nil {
+		err = l.flush(conn)
+	}
+	l.dialled(err)
+	if err != nil {
+		return nil, err
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.closed || l.leaving {
+		conn.Close()
+		return nil, context.Canceled
+	}
+	s := newSession(l, conn)
+	old := l.current
+	l.current, l.sessions[s] = s, true
+	if old != nil {
+		old.replace()
+	}
+	l.group.Go(func() error {
+		s.read()
+		return nil
+	})
+	return s, nil
+}
+
+// flush writes the releases that wait for a connection, before any set-up goes out on
+// it: that may be of the same call. So it does with those that a silent connection may
+// have swallowed.
+func (l *Link) flush(conn Conn) error {
+	l.mu.Lock()
+	pending := l.pending
+	l.pending = nil
+	if l.current != nil {
+		pending = append(pending, l.current.unproven...)
+		l.current.unproven = nil
+	}
+	l.mu.Unlock()
+	for i, id := range pending {
+		if err := conn.Release(id); err != nil {
+			conn.Close()
+			l.mu.Lock()
+			defer l.mu.Unlock()
+			for _, id := range pending[i:] {
+				l.keepPending(id)
+			}
+			return fmt.Errorf("connection broke at once: %w", err)
+		}
+	}
+	return nil
+}
+
+// dialled notes how a dial went: evidence of the switch's life, or of its lack.
+func (l *Link) dialled(err error) {
+	if l.ctx.Err() != nil {
+		return // this side ended the dial
+	}
+	l.count.Dials.WithLabelValues(dialResult(err)).Inc()
+	l.mu.Lock()
+	failedBefore := l.lastDial.err != nil
+	l.lastDial.at, l.lastDial.err = time.Now(), err
+	if err != nil && !failedBefore { // the first of a series; the others are counted
+		l.log.Warn("no connection to a switch", "error", err, "standing", len(l.standing))
+	}
+	l.mu.Unlock()
+	l.verified(err)
+}
+
+// verified tells the detector how a verification went.
+func (l *Link) verified(err error) {
+	l.mu.Lock()
+	var v liveness.Verdict
+	current := l.current
+	now := time.Now()
+	switch {
+	case err == nil:
+		l.alive()
+		l.mu.Unlock()
+		return
+	case isRefused(err):
+		v = l.detector.Refused(now, current != nil)
+		if v.State == liveness.ProcessGone {
+			l.pending = nil // nobody is left to be told
+		}
+	case isUnanswered(err):
+		l.detector.Unanswered()
+		v = l.detector.Check(now)
+	default:
+		l.mu.Unlock()
+		return // this machine's trouble says nothing of the switch
+	}
+	standing := l.anyStanding()
+	missing := l.detector.Unproven() || v.CallsOver
+	l.carryOut(v, err)
+	if missing {
+		l.up.EvidenceMissing()
+	}
+	if isRefused(err) && current != nil && standing != 0 {
+		// It drains, or its process ended while it was cut off, and the reset was lost:
+		// a message that means nothing brings another.
+		_ = current.write(nil, func() error { return current.conn.AcknowledgeRelease(standing) })
+	}
+}
+
+// anyStanding returns a call that stands, or 0. The lock is held.
+func (l *Link) anyStanding() uint64 {
+	for id := range l.standing {
+		return id
+	}
+	return 0
+}
+
+// alive notes evidence of life. The lock is held.
+func (l *Link) alive() {
+	l.detector.Alive(time.Now())
+	l.verify = false
+	l.enter(liveness.Alive)
+}
+
+// check asks the detector when its time has come.
+func (l *Link) check() {
+	l.mu.Lock()
+	if l.closed {
+		l.mu.Unlock()
+		return
+	}
+	l.carryOut(l.detector.Check(time.Now()), nil)
+}
+
+// carryOut does what a verdict says. It takes over the lock and lets it go.
+func (l *Link) carryOut(v liveness.Verdict, cause error) {
+	l.enter(v.State)
+	l.verify = v.Verify
+	if !v.Next.IsZero() {
+		l.watch.Reset(time.Until(v.Next))
+	}
+	if v.CallsOver {
+		l.log.Warn("calls that stand at a switch are over", "state", v.State.String(), "calls", len(l.standing), "error", cause)
+		clear(l.standing)
+		if l.current != nil {
+			l.current.end(metrics.CloseSilent) // what is written there is lost
+		}
+	}
+	l.mu.Unlock()
+	if v.CallsOver {
+		why := core.EndUnreachable
+		if v.State == liveness.ProcessGone {
+			why = core.EndProcessGone
+		}
+		l.up.CallsOver(why)
+	}
+	l.wakeKeeper()
+}
+
+// enter logs and counts a state that is new. The lock is held.
+func (l *Link) enter(s liveness.State) {
+	if s == l.state {
+		return
+	}
+	l.state = s
+	l.count.SwitchStates.WithLabelValues(s.String()).Inc()
+	l.log.Info("state of a switch", "state", s.String(), "standing", len(l.standing))
+}
+
+// stands notes that a call stands at the switch, or does not any more. The lock is held.
+func (l *Link) stands(id uint64, yes bool) {
+	before := len(l.standing)
+	if yes {
+		l.standing[id] = true
+	} else {
+		delete(l.standing, id)
+	}
+	if len(l.standing) == before {
+		return
+	}
+	l.detector.Standing(len(l.standing))
+	if before == 0 {
+		if v := l.detector.Check(time.Now()); !v.Next.IsZero() {
+			l.watch.Reset(time.Until(v.Next))
+		}
+	}
+}
+
+// answered passes an answer on. The call counts as standing before: it may be hung up
+// at once.
+func (l *Link) answered(s *session, id uint64, description []byte) core.Verdict {
+	l.mu.Lock()
+	s.answered(id)
+	before := l.standing[id]
+	l.stands(id, true)
+	l.mu.Unlock()
+	verdict := l.up.Answered(id, description)
+	if !before && (verdict == core.Unknown || verdict == core.Late) {
+		l.mu.Lock()
+		l.stands(id, false)
+		l.mu.Unlock()
+	}
+	return verdict
+}
+
+// over notes that the switch ended a set-up or a call.
+func (l *Link) over(s *session, id uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s.answered(id)
+	l.stands(id, false)
+}
+
+// ended takes a session out that has ended, and returns the set-ups that were open on it.
+// The switch is told that they are over: on the session that took this one's place, or
+// first thing on the next.
+func (l *Link) ended(s *session, err error) map[uint64]bool {
+	l.mu.Lock()
+	s.logEnd(err)
+	s.waiting = false
+	delete(l.sessions, s)
+	if l.current == s {
+		l.current = nil
+	}
+	open, unproven := s.open, s.unproven
+	s.open, s.unproven = map[uint64]bool{}, nil
+	l.mu.Unlock()
+	for id := range open {
+		l.Release(id)
+	}
+	for _, id := range unproven {
+		l.Release(id)
+	}
+	return open
+}
+
+// SetUp implements core.Link. It sends on a new connection if there is none.
+func (l *Link) SetUp(ctx context.Context, u *core.SetUp, until time.Time, mayGo func() bool) error {
+	if _, err := l.connect(ctx); err != nil {
+		return fmt.Errorf("%w: %w", core.ErrNotReached, err)
+	}
+	l.mu.Lock()
+	s := l.current
+	if s != nil {
+		s.open[u.ID] = true // before the write: the answer may be quick
+		s.unproven = without(s.unproven, u.ID)
+		l.pending = without(l.pending, u.ID)
+	}
+	l.mu.Unlock()
+	if s == nil {
+		return core.ErrNotReached // it ended a moment ago
+	}
+	err := s.write(mayGo, func() error { return s.conn.SetUp(u, until) })
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	switch {
+	case err != nil:
+		s.answered(u.ID)
+	case s.open[u.ID]:
+		s.sent()
+	}
+	return err
+}
+
+// without drops a call's earlier release: sent again, it would end the call's new attempt.
+func without(ids []uint64, id uint64) []uint64 {
+	return slices.DeleteFunc(ids, func(other uint64) bool { return other == id })
+}
+
+// GiveUp tells the switch that a set-up is given up.
+func (l *Link) GiveUp(id uint64) { l.Release(id) }
+
+// Release tells the switch that a call is over: now, or without a connection,
+// first thing on the next one. Past maxPending the switch is told when it speaks
+// of the call again.
+func (l *Link) Release(id uint64) {
+	l.mu.Lock()
+	for s := range l.sessions {
+		s.answered(id)
+	}
+	l.stands(id, false)
+	s := l.current
+	switch {
+	case s == nil:
+		l.keepPending(id)
+	case len(s.unproven) < maxUnproven:
+		s.unproven = append(s.unproven, id)
+	}
+	l.mu.Unlock()
+	if s == nil {
+		return
+	}
+	if err := s.write(nil, func() error { return s.conn.Release(id) }); err != nil {
+		l.log.Debug("release not sent", "call", callName(id), "error", err)
+	}
+}
+
+// keepPending keeps a release for the next connection. The lock is held.
+func (l *Link) keepPending(id uint64) {
+	if len(l.pending) < maxPending {
+		l.pending = append(l.pending, id)
+	}
+}
+
+// Caution makes the link verify its switch sooner until some time.
+func (l *Link) Caution(until time.Time) {
+	l.mu.Lock()
+	l.detector.Caution(until)
+	if l.closed || len(l.standing) == 0 {
+		l.mu.Unlock()
+		return
+	}
+	l.carryOut(l.detector.Check(time.Now()), nil)
+}
+
+// Unproven says whether calls stand there that may be over: nothing was heard of the
+// switch for some time, and a verification failed.
+func (l *Link) Unproven() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.detector.Unproven()
+}
+
+// Leave says that the switch has gone by the list. Nothing is dialled any more: another
+// switch may have its address.
+func (l *Link) Leave() {
+	l.mu.Lock()
+	l.leaving = true
+	l.mu.Unlock()
+	l.wakeKeeper()
+}
+
+// Close ends the link and waits for its goroutines.
+func (l *Link) Close() {
+	l.stop()
+	l.mu.Lock()
+	l.closed = true
+	l.watch.Stop()
+	for s := range l.sessions {
+		s.end(metrics.CloseRemoved)
+	}
+	l.mu.Unlock()
+	_ = l.group.Wait()
+}
--- /dev/null
+++ b/internal/trunk/session.go
@@ -0,0 +1,203 @@
+package trunk
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"sync"
+	"time"
+
+	"violetspan.example/violetspan/brain"
+	"violetspan.example/violetspan/internal/core"
+	"violetspan.example/violetspan/internal/metrics"
+)
+
+// replacedFor is how long a connection that another has replaced is read on for what the
+// switch had said by then.
+const replacedFor = 3 * time.Second
+
+// maxUnproven bounds the releases that are kept until something is received after them.
+const maxUnproven = 1024
+
+// session is one connection of a link, from the dial to its end.
+type session struct {
+	link    *Link
+	conn    Conn
+	writing sync.Mutex // one message at a time
+
+	// Under the link's lock:
+	open     map[uint64]bool // set-ups out on it that have no answer
+	unproven []uint64        // releases written since something was received: they may be lost
+	silence  *time.Timer     // ends the session; runs while a set-up waits for any word
+	waiting  bool            // the timer runs
+	replaced bool            // another session takes the set-ups
+	why      string          // metrics label of its end, where this side ended it
+}
+
+func newSession(l *Link, conn Conn) *session {
+	s := &session{link: l, conn: conn, open: map[uint64]bool{}}
+	s.silence = time.AfterFunc(time.Hour, s.silent)
+	s.silence.Stop()
+	return s
+}
+
+// end closes the connection; its reader does the rest. The first reason counts. The
+// link's lock is held.
+func (s *session) end(why string) {
+	if s.why == "" {
+		s.why = why
+	}
+	s.conn.Close()
+}
+
+// silent ends a session on which a set-up went out and nothing at all came since: the
+// connection was forgotten on its way, or the switch can't be reached.
+func (s *session) silent() {
+	l := s.link
+	l.mu.Lock()
+	if !s.waiting {
+		l.mu.Unlock()
+		return
+	}
+	l.log.Warn("connection to a switch is silent", "for", l.times.Silence, "open", len(s.open), "standing", len(l.standing))
+	s.end(metrics.CloseSilent)
+	l.mu.Unlock()
+	l.up.EvidenceMissing()
+}
+
+// received notes that something came.
+func (s *session) received() {
+	l := s.link
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s.waiting = false
+	s.silence.Stop()
+	s.unproven = s.unproven[:0]
+	l.alive()
+}
+
+// sent notes that a set-up went out. The link's lock is held.
+func (s *session) sent() {
+	if !s.waiting {
+		s.waiting = true
+		s.silence.Reset(s.link.times.Silence)
+	}
+}
+
+// answered notes that a set-up is open no more. The link's lock is held.
+func (s *session) answered(id uint64) {
+	delete(s.open, id)
+	s.closeReplaced()
+}
+
+// replace lets another session take the set-ups. The link's lock is held.
+func (s *session) replace() {
+	s.replaced = true
+	s.closeReplaced()
+}
+
+// closeReplaced ends a replaced session on which no set-up is open: what the switch had
+// said by then is still read. The link's lock is held.
+func (s *session) closeReplaced() {
+	if !s.replaced || len(s.open) > 0 || s.why != "" {
+		return
+	}
+	s.why = metrics.CloseReplaced
+	half, ok := s.conn.(HalfCloser)
+	if !ok || half.CloseWrite() != nil {
+		s.conn.Close()
+		return
+	}
+	time.AfterFunc(replacedFor, func() { s.conn.Close() })
+}
+
+// read takes in what the switch says until the connection ends. Then the
+// set-ups that were open on it are over. Any of them may have run, and its answer
+// may be what was lost: the switch is told of their end on the next connection.
+func (s *session) read() {
+	l := s.link
+	var err error
+	for {
+		var ev Event
+		if ev, err = s.conn.Read(); err != nil {
+			break
+		}
+		s.received()
+		if ev.Note != nil {
+			l.log.Warn("message of a switch with something unknown", "error", ev.Note)
+		}
+		s.take(ev)
+	}
+	s.conn.Close()
+	s.silence.Stop()
+	open := l.ended(s, err)
+	for id := range open {
+		l.up.Ended(id, core.End{Result: brain.Reset})
+	}
+	l.wakeKeeper()
+}
+
+// logEnd logs and counts why a session ended. The link's lock is held.
+func (s *session) logEnd(err error) {
+	l := s.link
+	why := s.why
+	switch {
+	case why != "" || l.closed:
+	case errors.Is(err, io.EOF):
+		why = metrics.CloseByPeer
+		l.log.Info("connection to a switch closed by it", "open", len(s.open), "standing", len(l.standing))
+	case errors.Is(err, net.ErrClosed): // after a write that failed, which was logged
+		why = metrics.CloseBroken
+	default:
+		why = metrics.CloseBroken
+		l.log.Warn("connection to a switch broke", "error", err, "open", len(s.open), "standing", len(l.standing))
+	}
+	if why != "" {
+		l.count.SwitchConnsClosed.WithLabelValues(why).Inc()
+	}
+}
+
+// take acts on what the switch said. A lost reply is made good by its repeat.
+func (s *session) take(ev Event) {
+	l := s.link
+	switch ev.Kind {
+	case Answer:
+		switch l.answered(s, ev.Call, ev.Description) {
+		case core.Late:
+			// The attempt was given up: what it set up is released, not passed on.
+			l.log.Debug("late answer released", "call", callName(ev.Call))
+			l.Release(ev.Call)
+		case core.Copy, core.Unknown:
+			// A release would end a call that stands, or one of somebody else.
+			l.log.Debug("answer dropped: a copy, or of an unknown call", "call", callName(ev.Call))
+		}
+	case End:
+		l.over(s, ev.Call)
+		l.up.Ended(ev.Call, ev.End)
+		_ = s.write(nil, func() error { return s.conn.AcknowledgeRelease(ev.Call) })
+	case Group:
+		l.up.Group(ev.Report)
+	case Test:
+		_ = s.write(nil, func() error { return s.conn.ReplyToTest(ev.Call) })
+	}
+}
+
+// write sends one message whole, or closes the connection: its reader then
+// ends what was open on it.
+func (s *session) write(mayGo func() bool, send func() error) error {
+	s.writing.Lock()
+	defer s.writing.Unlock()
+	if mayGo != nil && !mayGo() {
+		return core.ErrNotSent
+	}
+	err := send()
+	if errors.Is(err, core.ErrNotSent) {
+		return err // this message can't be sent; the connection is sound
+	}
+	if err != nil {
+		s.conn.Close()
+		return fmt.Errorf("connection broke during a write: %w", err)
+	}
+	return nil
+}
--- a/internal/trunk/trunk_test.go
+++ b/internal/trunk/trunk_test.go
@@ -29,25 +29,26 @@
 }
 func (r *recorder) SetUp(s *core.SetUp, _ time.Time) error { return r.note("set up ", s.ID) }
 func (r *recorder) Release(id uint64) error                { return r.note("release ", id) }
-func (r *recorder) Heard(id uint64) error                  { return r.note("heard ", id) }
-func (r *recorder) Passed(id uint64) error                 { return r.note("passed ", id) }
+func (r *recorder) AcknowledgeRelease(id uint64) error     { return r.note("heard ", id) }
+func (r *recorder) ReplyToTest(id uint64) error            { return r.note("passed ", id) }
 func (r *recorder) Close() error {
 	r.once.Do(func() { close(r.closed) })
 	return nil
 }
 
 func (r *recorder) note(what string, id uint64) error {
-	r.said <- what + name(id)
+	r.said <- what + callName(id)
 	return nil
 }
 
 // deaf hears nothing of what a switch says.
 type deaf struct{}
 
-func (deaf) Answered(string, uint64, []byte) core.Verdict { return core.Unknown }
-func (deaf) Ended(string, uint64, core.End)               {}
-func (deaf) Group(string, brain.Report)                   {}
-func (deaf) Dead(string)                                  {}
+func (deaf) Answered(uint64, []byte) core.Verdict { return core.Unknown }
+func (deaf) Ended(uint64, core.End)               {}
+func (deaf) Group(brain.Report)                   {}
+func (deaf) CallsOver(core.EndReason)             {}
+func (deaf) EvidenceMissing()                     {}
 
 // Guards against a release that is lost because the switch has no connection
 // at that moment, as in the first instant after a start: the switch would hold
