Find switches that hang from what is ignored; repeat releases that no caller took

Change: two connections ignored under set-ups and nothing received for 7 s count as over; a release that went to a connection without calls is repeated on others; late dials last three times their limit, past the kernel's first retry at 1 s. Stand-ins: fillers and abandoned machines behave as machines do; worlds get addresses of their own.

--- a/decide/liveness/liveness.go
+++ b/decide/liveness/liveness.go
@@ -21,7 +21,7 @@
 const (
 	Alive       State = iota // there is recent evidence of life, or nothing stands there
 	Suspected                // calls stand there, and the last evidence is too old
-	Unreachable              // its calls were declared over; no evidence of life since
+	Unreachable              // its calls were declared over, as nothing was heard of it; no evidence of life since
 	ProcessGone              // it refused a connection; no evidence of life since
 )
 
@@ -39,8 +39,8 @@
 	// OverAfter is the age of the last evidence at which the calls are over, if
 	// verifications were tried and none came up.
 	OverAfter time.Duration
-	// LeastUnanswered is how many verifications in a row must have failed by then: one
-	// connection may never come up though the peer lives.
+	// LeastUnanswered is how many verifications in a row must have failed by then, or how
+	// many connections have been ignored: one may never come up though the peer lives.
 	LeastUnanswered int
 }
 
@@ -58,15 +58,17 @@
 	set           Settings
 	state         State
 	lastEvidence  time.Time
-	unanswered    int  // verifications without an answer since then
-	reset         bool // the connection was reset since then
+	lastReceived  time.Time // when something was received last
+	ignored       int       // connections on which set-ups went out and nothing came back since then
+	unanswered    int       // verifications without an answer since the last evidence
+	reset         bool      // the connection was reset since the last evidence
 	standing      int
 	cautiousUntil time.Time
 }
 
 // New makes a detector for a peer that nothing is known of.
 func New(set Settings, now time.Time) *Detector {
-	return &Detector{set: set, lastEvidence: now}
+	return &Detector{set: set, lastEvidence: now, lastReceived: now}
 }
 
 // Verdict is what follows from the evidence at some time.
@@ -82,19 +84,30 @@
 	Next time.Time
 }
 
-// Alive notes evidence of life: something was received, or a ping was answered.
-func (d *Detector) Alive(now time.Time) {
+// Received notes that the peer said something, or answered a ping.
+func (d *Detector) Received(now time.Time) {
+	d.lastReceived, d.ignored = now, 0
+	d.alive(now)
+}
+
+// alive notes evidence of life of the machine.
+func (d *Detector) alive(now time.Time) {
 	d.state, d.lastEvidence, d.unanswered, d.reset = Alive, now, 0, false
 }
 
+// Ignored notes a connection on which a set-up went out and nothing came back in time. A
+// process that hangs lets connections come up and says nothing: what ends there meanwhile
+// nobody tells.
+func (d *Detector) Ignored() { d.ignored++ }
+
 // Connected notes that a new connection came up. It is evidence of life, but not always
 // of the same one: a connection that was reset and then others that did not come up are
 // what a machine leaves whose address another takes. The calls from before are over then.
 func (d *Detector) Connected(now time.Time) Verdict {
 	other := d.reset && d.unanswered >= d.set.LeastUnanswered && d.standing > 0
-	d.Alive(now)
+	d.alive(now)
 	v := d.Check(now)
-	v.CallsOver = other
+	v.CallsOver = v.CallsOver || other
 	return v
 }
 
@@ -105,8 +118,9 @@
 // new one came up: whoever answers there does not know the old connection, so it is
 // another machine or another process. The calls from before the new one are over.
 func (d *Detector) ReplacedReset(now time.Time) Verdict {
+	over := d.standing > 0
 	v := d.Check(now)
-	v.CallsOver = d.standing > 0
+	v.CallsOver = over
 	return v
 }
 
@@ -118,7 +132,7 @@
 // and the process may: one that drains takes no new connections.
 func (d *Detector) Refused(now time.Time, connected bool) Verdict {
 	if connected {
-		d.Alive(now)
+		d.alive(now)
 		return d.Check(now)
 	}
 	over := d.standing > 0
@@ -149,22 +163,32 @@
 		}
 		return Verdict{State: d.state}
 	}
-	over := d.lastEvidence.Add(d.set.OverAfter)
-	if !now.Before(over) && d.unanswered >= d.set.LeastUnanswered {
+	over, hung := d.lastEvidence.Add(d.set.OverAfter), d.lastReceived.Add(d.set.OverAfter)
+	isOver := !now.Before(over) && d.unanswered >= d.set.LeastUnanswered
+	isHung := !now.Before(hung) && d.ignored >= d.set.LeastUnanswered
+	if isOver || isHung {
 		d.state, d.standing = Unreachable, 0
 		return Verdict{State: d.state, CallsOver: true}
 	}
 	verify := d.verifyAt()
 	if now.Before(verify) {
 		d.state = Alive
-		return Verdict{State: d.state, Next: verify}
+		return Verdict{State: d.state, Next: soonest(now, verify, hung)}
 	}
 	d.state = Suspected
-	v := Verdict{State: d.state, Verify: true, Next: over}
-	if !now.Before(over) {
-		v.Next = time.Time{} // the next verification decides
+	return Verdict{State: d.state, Verify: true, Next: soonest(now, over, hung)}
+}
+
+// soonest is the first of two times that is still to come; zero if there is none, and the
+// next evidence decides.
+func soonest(now, a, b time.Time) time.Time {
+	var first time.Time
+	for _, t := range []time.Time{a, b} {
+		if t.After(now) && (first.IsZero() || t.Before(first)) {
+			first = t
+		}
 	}
-	return v
+	return first
 }
 
 // verifyAt is when the peer is to be verified.
--- a/decide/liveness/liveness_test.go
+++ b/decide/liveness/liveness_test.go
@@ -16,7 +16,9 @@
 		do   func(d *Detector, now time.Time)
 		want Verdict
 	}
-	alive := func(d *Detector, now time.Time) { d.Alive(now) }
+	alive := func(d *Detector, now time.Time) { d.Received(now) }
+	connected := func(d *Detector, now time.Time) { d.Connected(now) }
+	ignored := func(d *Detector, _ time.Time) { d.Ignored() }
 	unanswered := func(d *Detector, _ time.Time) { d.Unanswered() }
 	nothing := func(*Detector, time.Time) {}
 	one := func(d *Detector, _ time.Time) { d.Standing(1) }
@@ -54,6 +56,20 @@
 			{9, alive, Verdict{State: Alive}},
 			{9, one, Verdict{State: Alive, Next: at(13.5)}},
 		},
+		"a process that hangs: connections come up and nothing is said": {
+			{0, one, Verdict{State: Alive, Next: at(4.5)}},
+			{2, ignored, Verdict{State: Alive, Next: at(4.5)}},
+			{3, connected, Verdict{State: Alive, Next: at(7)}},
+			{4, ignored, Verdict{State: Alive, Next: at(7)}},
+			{5, connected, Verdict{State: Alive, Next: at(7)}},
+			{7, nothing, Verdict{State: Unreachable, CallsOver: true}},
+		},
+		"a process that is asked nothing may be idle": {
+			{0, one, Verdict{State: Alive, Next: at(4.5)}},
+			{4.5, connected, Verdict{State: Alive, Next: at(7)}},
+			{7, nothing, Verdict{State: Alive, Next: at(9)}},
+			{9, connected, Verdict{State: Alive, Next: at(13.5)}},
+		},
 		"the calls end by themselves": {
 			{0, one, Verdict{State: Alive, Next: at(4.5)}},
 			{5, unanswered, Verdict{State: Suspected, Verify: true, Next: at(7)}},
@@ -85,7 +101,7 @@
 	if v := d.Refused(at(8), false); v.CallsOver {
 		t.Errorf("%+v: its calls are over once", v)
 	}
-	d.Alive(at(9))
+	d.Received(at(9))
 	if v := d.Check(at(9)); v.State != Alive {
 		t.Errorf("%+v after a connection came up", v)
 	}
@@ -112,7 +128,7 @@
 				d.Unanswered()
 			}
 			if tc.received {
-				d.Alive(at(1))
+				d.Received(at(1))
 			}
 			if v := d.Connected(at(2)); v.CallsOver != tc.want || v.State != Alive {
 				t.Errorf("%+v, want calls over: %t", v, tc.want)
@@ -148,7 +164,7 @@
 				over = true
 			case v.Verify:
 				if now.Before(vanishes) && !(lossy && rng.IntN(10) == 0) {
-					d.Alive(now)
+					d.Received(now)
 				} else {
 					d.Unanswered()
 					now = now.Add(500 * time.Millisecond)
@@ -157,7 +173,7 @@
 				next := v.Next
 				if said := now.Add(seconds(6)); said.Before(vanishes) && said.Before(next) {
 					next = said
-					d.Alive(said)
+					d.Received(said)
 				}
 				now = next
 			}
--- a/internal/platform/release.go
+++ b/internal/platform/release.go
@@ -51,7 +51,8 @@
 
 // release sends a release on the connection given or another, and again elsewhere if
 // it is not acknowledged by callers who otherwise do so: one that a close crosses
-// is lost without an error, and a bad caller's connection swallows it. What it
+// is lost without an error, and a connection that is no caller's swallows it, such as a
+// bad client's or that of the test after a start. What it
 // returns does the writing, without the lock, which is held here.
 func (f *Front) release(id uint64, cut bool, on *conn) (send func()) {
 	if f.closed || f.releases[id] != nil {
@@ -100,7 +101,7 @@
 			return
 		}
 		wait := acknowledgementWait
-		if f.acknowledges {
+		if f.acknowledges || !c.trusted {
 			wait, r.retry = r.retry, 2*r.retry
 		}
 		r.timer.Reset(min(wait, time.Until(r.until)))
@@ -123,7 +124,7 @@
 	defer f.mu.Unlock()
 	switch {
 	case f.releases[r.id] != r || r.out:
-	case r.sentOn != nil && !f.acknowledges:
+	case r.sentOn != nil && r.sentOn.trusted && !f.acknowledges:
 		f.forget(r) // these callers acknowledge nothing
 	default:
 		f.again(r)
--- a/internal/standin/client.go
+++ b/internal/standin/client.go
@@ -336,7 +336,7 @@
 		delete(cc.standing, id)
 	}
 	c.mu.Unlock()
-	c.Ledger.ToldOver(id)
+	c.Ledger.ToldOver(id, c.Proxy.Incarnation())
 }
 
 // ended says what becomes of the set-ups that were open on a connection that has ended.
--- a/internal/standin/ledger.go
+++ b/internal/standin/ledger.go
@@ -215,15 +215,22 @@
 	return e.tellBy
 }
 
-// ToldOver notes that a caller was told that its call is over.
-func (l *Ledger) ToldOver(id uint64) {
+// ToldOver notes that a caller was told that its call is over, by the incarnation of its
+// proxy that runs.
+func (l *Ledger) ToldOver(id uint64, running int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	e := l.calls[id]
 	switch {
 	case e != nil && e.left:
-	case e == nil || !e.stands:
-		l.fault("call %016x: a release of a call that does not stand", id)
+	case e == nil:
+		l.fault("call %016x: a release of a call that nobody offered", id)
+	case !e.stands && e.incarnation != running:
+		// An attempt that its proxy gave up before it stopped, and whose switch was out
+		// of reach: who comes after can't know that it never stood.
+		l.counts["released though refused by a former incarnation"]++
+	case !e.stands:
+		l.fault("call %016x of %s at %s: a release of a call that does not stand", id, e.proxy, e.lastAt)
 	case e.told:
 	default:
 		e.told = true
--- a/internal/standin/network.go
+++ b/internal/standin/network.go
@@ -17,14 +17,15 @@
 	addr string
 	do   func(c *PortConn)
 
-	mu     sync.Mutex // guards all below
-	ln     *net.TCPListener
-	conns  map[*PortConn]bool
-	silent chan struct{}   // closed when the port is not silent
-	filler []net.Conn      // what fills the backlog of a port that is cut off
-	filled map[string]bool // the addresses of what filled it before
-	mended time.Time       // when the port was last silent
-	closed bool
+	mu        sync.Mutex // guards all below
+	ln        *net.TCPListener
+	conns     map[*PortConn]bool
+	silent    chan struct{}   // closed when the port is not silent
+	filler    []net.Conn      // what fills the backlog of a port that is cut off
+	filled    map[string]bool // the addresses of what filled it before
+	mended    time.Time       // when the port was last silent
+	closed    bool
+	abandoned bool // another machine has the address
 }
 
 // openGate is the gate of a port that is not silent.
@@ -228,17 +229,25 @@
 	}
 }
 
-// Abandon forgets the open connections and leaves them as they are, for another machine
-// that takes the address: nobody answers on them any more. They are closed by the end
-// of the run.
-func (p *Port) Abandon() (left []*PortConn) {
+// Abandon leaves the address to another machine, which knows none of the connections:
+// what is sent on them from now on, or was sent in vain before, is answered by a reset.
+func (p *Port) Abandon() {
+	p.Refuse()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for c := range p.conns {
-		left = append(left, c)
+	p.abandoned = true
+	select {
+	case <-p.silent:
+	default:
+		close(p.silent)
 	}
-	p.conns = map[*PortConn]bool{}
-	return left
+}
+
+// isAbandoned says whether another machine has the address.
+func (p *Port) isAbandoned() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.abandoned
 }
 
 // Close ends the port and its connections.
@@ -276,6 +285,11 @@
 	c.port.wait()
 	c.stale = before || after || c.firstStale
 	c.firstStale = false
+	if c.port.isAbandoned() {
+		_ = c.SetLinger(0)
+		c.TCPConn.Close()
+		return 0, net.ErrClosed
+	}
 	return n, err
 }
 
@@ -284,5 +298,8 @@
 	c.writing.Lock()
 	defer c.writing.Unlock()
 	c.port.wait()
+	if c.port.isAbandoned() {
+		return 0, net.ErrClosed
+	}
 	return c.TCPConn.Write(b)
 }
--- a/internal/standin/switch.go
+++ b/internal/standin/switch.go
@@ -48,7 +48,9 @@
 	mu      sync.Mutex // guards all below
 	conns   []*PortConn
 	calls   map[uint64]*switchCall
-	pending []uint64 // releases to be sent on the next connection opened too
+	pending []uint64       // releases to be sent on the next connection opened too
+	opened  int            // connections so far
+	given   map[uint64]int // set-ups that were given up, and the number of the connection that said so
 }
 
 // switchCall is a set-up or a call that stands.
@@ -69,7 +71,7 @@
 
 // Listen opens a port for a proxy.
 func (s *Switch) Listen(proxy, addr string) error {
-	p := &switchPort{proxy: proxy, sw: s, calls: map[uint64]*switchCall{}}
+	p := &switchPort{proxy: proxy, sw: s, calls: map[uint64]*switchCall{}, given: map[uint64]int{}}
 	p.Port = NewPort(addr, p.serve)
 	s.mu.Lock()
 	s.ports[proxy] = p
@@ -172,10 +174,7 @@
 
 // Abandon leaves the addresses of a vanished machine to another.
 func (s *Switch) Abandon() {
-	s.each(func(p *switchPort) {
-		p.Abandon()
-		p.Refuse()
-	})
+	s.each(func(p *switchPort) { p.Abandon() })
 }
 
 // Close ends the switch.
@@ -226,6 +225,8 @@
 func (p *switchPort) serve(c *PortConn) {
 	p.mu.Lock()
 	p.conns = append(p.conns, c)
+	p.opened++
+	number := p.opened
 	pending := p.pending
 	p.pending = nil
 	p.mu.Unlock()
@@ -247,9 +248,9 @@
 				p.sw.Ledger.Count("set-ups to a silent switch")
 				continue
 			}
-			p.setUp(c, m)
+			p.setUp(c, number, m)
 		case sig.Release:
-			p.released(m.Call)
+			p.released(number, m.Call)
 		}
 	}
 	p.closed(c)
@@ -274,8 +275,15 @@
 }
 
 // setUp is a set-up's arrival.
-func (p *switchPort) setUp(c *PortConn, m sig.Message) {
+func (p *switchPort) setUp(c *PortConn, number int, m sig.Message) {
 	s := p.sw
+	p.mu.Lock()
+	overtaken := p.given[m.Call] > number
+	p.mu.Unlock()
+	if overtaken {
+		s.Ledger.Count("set-ups that a release on a newer connection overtook")
+		return
+	}
 	s.Ledger.Attempt(m.Call, s.ID)
 	s.mu.Lock()
 	draining, temper := s.draining, s.Temper
@@ -385,12 +393,17 @@
 func (p *switchPort) sendRelease(c *PortConn, id uint64) {
 	if p.send(c, sig.WithCause(sig.Release, id, sig.CauseNormal)) {
 		p.sw.Ledger.Over(id, true)
+		return
 	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.pending = append(p.pending, id) // that connection was closed by the time
 }
 
 // released is a proxy's release: a set-up that it gives up, or a call that it ends.
-func (p *switchPort) released(id uint64) {
+func (p *switchPort) released(number int, id uint64) {
 	p.mu.Lock()
+	p.given[id] = number
 	k := p.calls[id]
 	delete(p.calls, id)
 	p.mu.Unlock()
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -7,7 +7,6 @@
 	"os"
 	"path/filepath"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -50,12 +49,18 @@
 	checkEvery = 20 * time.Millisecond
 )
 
-// worlds counts the worlds of this process.
-var worlds atomic.Int64
-
 // sideBySide is how many worlds of one process may run at a time.
 const sideBySide = 8
 
+// networks has the numbers of those that may start.
+var networks = func() chan int {
+	free := make(chan int, sideBySide)
+	for i := range sideBySide {
+		free <- 64 + os.Getpid()%16*sideBySide + i
+	}
+	return free
+}()
+
 // address is a loopback address of this world's own: kind and place say whose.
 func (w *World) address(kind, place int) string {
 	return fmt.Sprintf("127.%d.%d.%d:5070", w.network, kind, place+1)
@@ -71,7 +76,7 @@
 // NewWorld starts everything but the callers.
 func NewWorld(plan Plan) (*World, error) {
 	w := &World{Plan: plan, Ledger: NewLedger(), rng: rand.New(rand.NewPCG(plan.Seed, 5)), quit: make(chan struct{}),
-		network: 64 + os.Getpid()%16*sideBySide + int(worlds.Add(1)%sideBySide)}
+		network: <-networks}
 	w.Discovery = NewDiscovery(w.Ledger)
 	for i := range plan.Proxies {
 		w.Proxies = append(w.Proxies, &Process{Name: fmt.Sprintf("n%d", i), Listen: w.address(proxyAddresses, i), Binary: plan.Binary, Dir: plan.Dir})
@@ -252,6 +257,7 @@
 	for _, s := range append(w.old, w.switches...) {
 		s.Close()
 	}
+	networks <- w.network
 	return failed
 }
 
--- a/internal/trunk/link.go
+++ b/internal/trunk/link.go
@@ -26,7 +26,7 @@
 	maxPending  = 1024                  // releases kept for a switch without a connection
 	// A dial that was given up goes on for so many times its limit: a connection that comes
 	// up late and is closed at once may take a release with it.
-	lateDials = 2
+	lateDials = 3
 )
 
 // Up is what a link tells of its switch.
@@ -138,7 +138,7 @@
 	defer cancel()
 	if p, ok := current.conn.(Pinger); ok {
 		err := p.Ping(ctx)
-		l.verified(err)
+		l.pinged(err)
 		if err != nil {
 			l.mu.Lock()
 			current.end(metrics.CloseSilent)
@@ -318,6 +318,17 @@
 	}
 }
 
+// pinged tells the detector how a ping went.
+func (l *Link) pinged(err error) {
+	if err != nil {
+		l.verified(err)
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.received()
+}
+
 // anyStanding returns a call that stands, or 0. The lock is held.
 func (l *Link) anyStanding() uint64 {
 	for id := range l.standing {
@@ -326,9 +337,9 @@
 	return 0
 }
 
-// alive notes evidence of life. The lock is held.
-func (l *Link) alive() {
-	l.detector.Alive(time.Now())
+// received notes that the switch said something. The lock is held.
+func (l *Link) received() {
+	l.detector.Received(time.Now())
 	l.verify = false
 	l.enter(liveness.Alive)
 }
--- a/internal/trunk/session.go
+++ b/internal/trunk/session.go
@@ -76,11 +76,12 @@
 	if out != nil {
 		out.end(metrics.CloseSilent)
 	}
-	l.mu.Unlock()
+	l.detector.Ignored()
+	now := time.Now()
+	l.carryOut(l.detector.Check(now), nil, now)
 	l.releaseAll(releases)
 	s.reset(open)
 	l.up.EvidenceMissing()
-	l.wakeKeeper()
 }
 
 // reset says that set-ups were reset with their connection.
@@ -99,7 +100,7 @@
 	s.silence.Stop()
 	s.heard = time.Now()
 	s.unproven = s.unproven[:0]
-	l.alive()
+	l.received()
 }
 
 // sent notes that a set-up went out. The link's lock is held.
