Send a call's earlier release before its new set-up; stand-ins hold up under slow writers

Cause: a release that a silent connection may have swallowed was kept with that connection, and would have gone out after a new set-up of the same call to the same switch. Change: a set-up forgets earlier releases of its call, or sends them first. Stand-ins: callers acknowledge beside slow writes, ends of an earlier attempt are not the call's, and what a silent switch notices late starts no rest.

--- a/internal/standin/client.go
+++ b/internal/standin/client.go
@@ -311,7 +311,7 @@
 			}
 			c.over(m.Call)
 			if !c.Habits.Silent {
-				cc.say(sig.Message{Type: sig.Heard, Call: m.Call})
+				go cc.say(sig.Message{Type: sig.Heard, Call: m.Call}) // a slow writer reads on
 			}
 		}
 	}
--- a/internal/standin/network.go
+++ b/internal/standin/network.go
@@ -243,6 +243,17 @@
 	}
 }
 
+// wasSilent says whether the port is silent or was so a moment ago: what is noticed now may
+// have happened long before.
+func (p *Port) wasSilent() bool {
+	if p.isSilent() {
+		return true
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return time.Since(p.mended) < staleAccept
+}
+
 // isAbandoned says whether another machine has the address.
 func (p *Port) isAbandoned() bool {
 	p.mu.Lock()
--- a/internal/standin/switch.go
+++ b/internal/standin/switch.go
@@ -258,6 +258,7 @@
 
 // closed notes that a connection ended: the set-ups open on it are given up.
 func (p *switchPort) closed(c *PortConn) {
+	rest := !p.wasSilent()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for i, other := range p.conns {
@@ -269,7 +270,7 @@
 	for id, k := range p.calls {
 		if k.conn == c && !k.stands {
 			delete(p.calls, id)
-			p.sw.Ledger.AttemptOver(id, p.sw.ID, true)
+			p.sw.Ledger.AttemptOver(id, p.sw.ID, rest)
 		}
 	}
 }
@@ -408,7 +409,7 @@
 	delete(p.calls, id)
 	p.mu.Unlock()
 	if k != nil {
-		p.sw.Ledger.AttemptOver(id, p.sw.ID, !k.stands)
+		p.sw.Ledger.AttemptOver(id, p.sw.ID, !k.stands && !p.wasSilent())
 		if k.stands {
 			p.sw.Ledger.Over(id, false)
 		}
--- a/internal/trunk/link.go
+++ b/internal/trunk/link.go
@@ -503,14 +503,20 @@
 	s := l.current
 	if s != nil {
 		s.open[u.ID] = true // before the write: the answer may be quick
-		s.unproven = without(s.unproven, u.ID)
-		l.pending = without(l.pending, u.ID)
 	}
+	earlier := s != nil && l.forgetRelease(s, u.ID)
 	l.mu.Unlock()
 	if s == nil {
 		return core.ErrNotReached // it ended a moment ago
 	}
-	err := s.write(mayGo, func() error { return s.conn.SetUp(u, until) })
+	err := s.write(mayGo, func() error {
+		if earlier {
+			if err := s.conn.Release(u.ID); err != nil {
+				return err
+			}
+		}
+		return s.conn.SetUp(u, until)
+	})
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	switch {
@@ -522,9 +528,22 @@
 	return err
 }
 
-// without drops a call's earlier release: sent again, it would end the call's new attempt.
-func without(ids []uint64, id uint64) []uint64 {
-	return slices.DeleteFunc(ids, func(other uint64) bool { return other == id })
+// forgetRelease drops an earlier release of a call that is set up anew: sent again later, it
+// would end the new attempt. It says whether it has to be sent on the session now, before
+// the set-up; one that went out on that session itself has. The lock is held.
+func (l *Link) forgetRelease(on *session, id uint64) (send bool) {
+	drop := func(ids []uint64) []uint64 {
+		return slices.DeleteFunc(ids, func(other uint64) bool { return other == id })
+	}
+	before := len(l.pending)
+	l.pending = drop(l.pending)
+	send = len(l.pending) < before
+	for s := range l.sessions {
+		before := len(s.unproven)
+		s.unproven = drop(s.unproven)
+		send = send || s != on && len(s.unproven) < before
+	}
+	return send
 }
 
 // GiveUp tells the switch that a set-up is given up.
