Fail what is unanswered before the kill; renew a broken connection where calls stand

Change: 0.6 s before the earliest kill what is unanswered is failed, and the proxy exits; a set-up rests 0.5 s from a release that went out late; 0.3 s after a connection with standing calls broke, another takes its place.

--- a/internal/core/call.go
+++ b/internal/core/call.go
@@ -94,6 +94,10 @@
 			k.caller.Fail(k.ID)
 			c.opt.Observer.FinalAnswer(AnswerOverdue)
 			return
+		case expired:
+			k.caller.Fail(k.ID)
+			c.opt.Observer.FinalAnswer(AnswerShutdown)
+			return
 		default:
 			continue // a cancel that crossed its attempt's end
 		}
@@ -108,13 +112,18 @@
 			how = byCaller
 		}
 		switch {
-		case how == byCaller:
+		case how == byCaller, how == byShutdown:
 			if err == nil {
 				l.GiveUp(k.ID)
 			}
 			c.tell(brain.Withdrawn{Call: k.name})
 			c.settle(k, send, sent, End{Result: brain.Cancelled}, true)
-			c.opt.Observer.FinalAnswer(AnswerNotOwed)
+			if how == byCaller {
+				c.opt.Observer.FinalAnswer(AnswerNotOwed)
+				return
+			}
+			k.caller.Fail(k.ID)
+			c.opt.Observer.FinalAnswer(AnswerShutdown)
 			return
 		case errors.Is(err, ErrNotReached):
 			c.settle(k, send, sent, End{Result: brain.NotReached}, false)
@@ -173,6 +182,7 @@
 type (
 	left    struct{} // the caller has left
 	overdue struct{} // the module forgot the call, and its caller is about to give up
+	expired struct{} // the proxy is about to end
 )
 
 // next waits for what the module wants of a call that has no attempt out. What
@@ -195,6 +205,9 @@
 	case <-k.ctx.Done():
 		c.withdraw(k)
 		return left{}
+	case <-c.expired:
+		c.withdraw(k)
+		return expired{}
 	case <-due:
 		c.log.Error("no decision before the caller gives up", "call", k.name)
 		c.withdraw(k)
@@ -223,6 +236,7 @@
 	byCaller
 	byClock
 	byModule
+	byShutdown
 )
 
 // await waits for what a switch says of a set-up, but no longer than the
@@ -242,6 +256,9 @@
 		case <-k.ctx.Done():
 			how = byCaller
 			break wait
+		case <-c.expired:
+			how = byShutdown
+			break wait
 		case a := <-k.actions:
 			if x, ok := a.(brain.Cancel); ok {
 				if x.Attempt != k.sends-1 {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -160,6 +160,7 @@
 	changed    chan struct{}    // closed when unanswered or len(calls) falls
 	draining   map[*member]bool // switches that were removed, whose links are still open
 	stopped    bool             // no new calls
+	expired    chan struct{}    // closed when the unanswered calls are to be failed
 	closed     bool
 }
 
@@ -194,7 +195,7 @@
 	g, ctx := errgroup.WithContext(ctx)
 	c := &Core{opt: opt, log: opt.Log, start: time.Now(), ctx: ctx, group: g, brain: b,
 		calls: map[uint64]*call{}, names: map[string]*call{}, members: map[string]*member{}, draining: map[*member]bool{},
-		ended: map[uint64]time.Time{}, changed: make(chan struct{}), unknownEnds: make(chan unknownEnd, maxUnknownEnds)}
+		ended: map[uint64]time.Time{}, changed: make(chan struct{}), expired: make(chan struct{}), unknownEnds: make(chan unknownEnd, maxUnknownEnds)}
 	c.side.Go(c.hangUpUnknown)
 	return c, nil
 }
@@ -483,6 +484,18 @@
 	c.stopped = true
 }
 
+// FailUnanswered gives every call that waits for its final answer that it failed. A proxy
+// that is about to be killed does so: its callers would wait in vain.
+func (c *Core) FailUnanswered() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	select {
+	case <-c.expired:
+	default:
+		close(c.expired)
+	}
+}
+
 // Offer takes a call. It fails if the call is known already or there is no
 // room; the caller is then owed its answer by the front.
 func (c *Core) Offer(s *SetUp, from Caller) error {
--- a/internal/core/observe.go
+++ b/internal/core/observe.go
@@ -13,10 +13,11 @@
 	AnswerOverdue                  // failed by the core: the policy did not decide in time
 	AnswerNotOwed                  // the caller left first
 	AnswerNotDelivered             // its connection broke while it was written
+	AnswerShutdown                 // failed by the core: the proxy is about to end
 )
 
 func (a FinalAnswer) String() string {
-	return [...]string{"stands", "refused", "failed", "overdue", "caller_left", "not_delivered"}[a]
+	return [...]string{"stands", "refused", "failed", "overdue", "caller_left", "not_delivered", "shutdown"}[a]
 }
 
 // EndReason is why a call that stood is over.
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -230,14 +230,23 @@
 // exit. What stands then is left to the next proxy, which passes on its release; but not
 // what stands at a switch that may be gone, of which no release will come.
 func (p *Proxy) finish(life context.Context, exit time.Time) {
-	answers, cancel := context.WithTimeout(life, answerFor)
+	answered := exit.Add(-unprovenFor)
+	if p.platform == nil { // nobody kills it
+		answered = time.Now().Add(answerFor)
+	}
+	answers, cancel := context.WithDeadline(life, answered)
 	defer cancel()
-	err := p.core.Settle(answers, false)
+	if p.core.Settle(answers, false) != nil {
+		unanswered, _ := p.core.Counts()
+		p.log.Warn("calls failed at the end", "unanswered", unanswered)
+		p.core.FailUnanswered()
+	}
 	releases, cancel := context.WithDeadline(life, exit.Add(-unprovenFor))
 	defer cancel()
 	_ = p.core.Settle(releases, true) // what is left is told below
 	last, cancel := context.WithDeadline(life, exit)
 	defer cancel()
+	_ = p.core.Settle(last, false) // logged below
 	p.core.EndUnproven(last)
 	if unanswered, standing := p.core.Counts(); unanswered+standing > 0 {
 		p.log.Info("calls left at the end", "unanswered", unanswered, "standing", standing)
@@ -245,9 +254,6 @@
 	if p.front != nil {
 		p.front.WaitForReleases(last)
 	}
-	if err != nil && life.Err() == nil {
-		p.log.Error("calls are left without an answer", "error", err)
-	}
 }
 
 // start opens what the configuration asks for. The function that it returns
@@ -351,7 +357,7 @@
 		opt.MaxCalls = min(set.OpenCap, maxCalls)
 	}
 	opt.Settings = set.Brain
-	times := trunk.Times{Dial: set.DialTimeout, Silence: set.Silence()}
+	times := trunk.Times{Dial: set.DialTimeout, Silence: set.Silence(), Rest: set.Brain.Release}
 	opt.Open = func(m core.Member, peer *core.Peer) (core.Link, error) {
 		dial := trunk.Dial(platform.Dial)
 		if inventory.IsURL(m.Addr) {
--- a/internal/standin/client.go
+++ b/internal/standin/client.go
@@ -41,8 +41,10 @@
 	mu    sync.Mutex // guards all below
 	rng   *rand.Rand
 	conns []*clientConn
-	quit  chan struct{}
-	wg    sync.WaitGroup
+	quit  chan struct{}  // closed when the calling ends
+	done  chan struct{}  // closed when the callers leave
+	wg    sync.WaitGroup // the calling
+	conn  sync.WaitGroup // keepConns
 }
 
 // clientConn is one connection of a Client.
@@ -68,12 +70,12 @@
 
 // NewClient makes the callers of a proxy.
 func NewClient(p *Process, l *Ledger, h Habits, seed uint64) *Client {
-	return &Client{Proxy: p, Ledger: l, Habits: h, rng: rand.New(rand.NewPCG(seed, 77)), quit: make(chan struct{})}
+	return &Client{Proxy: p, Ledger: l, Habits: h, rng: rand.New(rand.NewPCG(seed, 77)), quit: make(chan struct{}), done: make(chan struct{})}
 }
 
 // Start begins to call.
 func (c *Client) Start() {
-	c.wg.Go(c.keepConns)
+	c.conn.Go(c.keepConns)
 	c.wg.Go(func() {
 		at := time.Now()
 		for {
@@ -90,7 +92,7 @@
 	})
 }
 
-// Stop ends the calling; connections stay until Close.
+// Stop ends the calling; connections are kept until Close.
 func (c *Client) Stop() {
 	close(c.quit)
 	c.wg.Wait()
@@ -98,6 +100,8 @@
 
 // Close closes the connections.
 func (c *Client) Close() {
+	close(c.done)
+	c.conn.Wait()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, cc := range c.conns {
@@ -150,7 +154,7 @@
 			c.connect()
 		}
 		select {
-		case <-c.quit:
+		case <-c.done:
 			return
 		case <-time.After(connectPause):
 		}
--- a/internal/trunk/link.go
+++ b/internal/trunk/link.go
@@ -23,7 +23,10 @@
 	redialFirst = 50 * time.Millisecond
 	redialMost  = time.Second
 	verifyPause = 50 * time.Millisecond // between verifications of a switch that is suspected
-	maxPending  = 1024                  // releases kept for a switch without a connection
+	// A switch may go on for a moment on a connection that broke. What it says of calls that
+	// stand there it repeats on the next connection that is opened after that.
+	renewAfter = 300 * time.Millisecond
+	maxPending = 1024 // releases kept for a switch without a connection
 	// A dial that was given up goes on for so many times its limit: a connection that comes
 	// up late and is closed at once may take a release with it.
 	lateDials = 3
@@ -56,11 +59,14 @@
 	turn   chan struct{}  // held by whoever dials
 	wake   chan struct{}  // has a value when the keeper has something to look at
 
-	mu       sync.Mutex // guards all below
-	closed   bool       // no new session
-	leaving  bool       // the switch has gone by the list: another may have its address
-	current  *session   // takes set-ups; nil: no connection
-	silent   *session   // fell silent, and is kept open: whether it is reset once another comes up tells who that is
+	mu      sync.Mutex // guards all below
+	closed  bool       // no new session
+	leaving bool       // the switch has gone by the list: another may have its address
+	current *session   // takes set-ups; nil: no connection
+	// released has calls whose release went out late, and when: their set-ups rest from
+	// then on, as the switch may have held them until then. At most maxPending.
+	released map[uint64]time.Time
+	silent   *session // fell silent, and is kept open: whether it is reset once another comes up tells who that is
 	sessions map[*session]bool
 	pending  []uint64             // releases to be sent first on the next connection
 	standing map[uint64]time.Time // calls that stand there, as far as this side knows, and since when
@@ -68,6 +74,7 @@
 	state    liveness.State // as logged last
 	watch    *time.Timer    // when the detector is to be asked again
 	verify   bool           // the detector asks for a verification
+	renew    bool           // a connection broke: what was said on it meanwhile comes on another
 	lastDial struct {       // how the last dial went
 		at  time.Time
 		err error
@@ -77,7 +84,7 @@
 // New makes a link and starts to connect.
 func New(ctx context.Context, m core.Member, up Up, times Times, log *slog.Logger, count *metrics.Set, dial Dial) *Link {
 	l := &Link{member: m, up: up, log: log.With("switch", m.ID, "addr", m.Addr), count: count, dial: dial, times: times,
-		turn: make(chan struct{}, 1), wake: make(chan struct{}, 1), sessions: map[*session]bool{}, standing: map[uint64]time.Time{},
+		turn: make(chan struct{}, 1), wake: make(chan struct{}, 1), sessions: map[*session]bool{}, released: map[uint64]time.Time{}, standing: map[uint64]time.Time{},
 		detector: liveness.New(liveness.Defaults, time.Now())}
 	l.watch = time.AfterFunc(time.Hour, l.check)
 	l.watch.Stop()
@@ -92,7 +99,8 @@
 	gap := redialFirst
 	for l.ctx.Err() == nil {
 		l.mu.Lock()
-		current, verify, leaving := l.current, l.verify, l.leaving
+		current, verify, leaving := l.current, l.verify || l.renew, l.leaving
+		l.renew = l.renew && current == nil
 		l.mu.Unlock()
 		pause := time.Hour
 		switch {
@@ -253,6 +261,13 @@
 		pending = append(pending, l.current.unproven...)
 		l.current.unproven = nil
 	}
+	now := time.Now()
+	maps.DeleteFunc(l.released, func(_ uint64, at time.Time) bool { return now.Sub(at) >= l.times.Rest })
+	for _, id := range pending {
+		if len(l.released) < maxPending {
+			l.released[id] = now
+		}
+	}
 	l.mu.Unlock()
 	for i, id := range pending {
 		if err := conn.Release(id); err != nil {
@@ -457,6 +472,9 @@
 		l.silent = nil
 	}
 	open, releases := l.detach(s)
+	if !s.replaced && len(l.standing) > 0 {
+		time.AfterFunc(renewAfter, l.renewConnection)
+	}
 	switch reset := errors.Is(err, syscall.ECONNRESET); {
 	case reset && s.challenged:
 		l.carryOut(l.detector.ReplacedReset(time.Now()), err, s.replacedAt)
@@ -470,6 +488,14 @@
 	return open
 }
 
+// renewConnection opens another connection in the place of the present one.
+func (l *Link) renewConnection() {
+	l.mu.Lock()
+	l.renew = !l.closed && len(l.standing) > 0
+	l.mu.Unlock()
+	l.wakeKeeper()
+}
+
 // detach takes everything off a session that takes nothing more: the set-ups that are
 // open on it, and the releases that the switch is to be sent on another. The lock is held.
 func (l *Link) detach(s *session) (open, releases []uint64) {
@@ -504,19 +530,19 @@
 	if s != nil {
 		s.open[u.ID] = true // before the write: the answer may be quick
 	}
-	earlier := s != nil && l.forgetRelease(s, u.ID)
+	rests := s != nil && l.restsAfterRelease(s, u.ID)
+	if rests {
+		delete(s.open, u.ID)
+	}
 	l.mu.Unlock()
-	if s == nil {
+	switch {
+	case s == nil:
 		return core.ErrNotReached // it ended a moment ago
+	case rests:
+		l.Release(u.ID) // again: the one before may be lost
+		return fmt.Errorf("%w: its last attempt there was released a moment ago", core.ErrNotSent)
 	}
-	err := s.write(mayGo, func() error {
-		if earlier {
-			if err := s.conn.Release(u.ID); err != nil {
-				return err
-			}
-		}
-		return s.conn.SetUp(u, until)
-	})
+	err := s.write(mayGo, func() error { return s.conn.SetUp(u, until) })
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	switch {
@@ -528,22 +554,27 @@
 	return err
 }
 
-// forgetRelease drops an earlier release of a call that is set up anew: sent again later, it
-// would end the new attempt. It says whether it has to be sent on the session now, before
-// the set-up; one that went out on that session itself has. The lock is held.
-func (l *Link) forgetRelease(on *session, id uint64) (send bool) {
+// restsAfterRelease says whether a call's earlier attempt there may have lasted until a
+// moment ago: its release is not sent yet, may be lost, or went out late. Such a release is
+// dropped here, as sent later it would end the new attempt. The lock is held.
+func (l *Link) restsAfterRelease(on *session, id uint64) bool {
 	drop := func(ids []uint64) []uint64 {
 		return slices.DeleteFunc(ids, func(other uint64) bool { return other == id })
 	}
-	before := len(l.pending)
+	had := len(l.pending)
 	l.pending = drop(l.pending)
-	send = len(l.pending) < before
+	lost := len(l.pending) < had
 	for s := range l.sessions {
-		before := len(s.unproven)
+		had := len(s.unproven)
 		s.unproven = drop(s.unproven)
-		send = send || s != on && len(s.unproven) < before
+		lost = lost || s != on && len(s.unproven) < had
+	}
+	now := time.Now()
+	if lost {
+		l.released[id] = now
 	}
-	return send
+	at, late := l.released[id]
+	return late && now.Sub(at) < l.times.Rest
 }
 
 // GiveUp tells the switch that a set-up is given up.
--- a/internal/trunk/trunk.go
+++ b/internal/trunk/trunk.go
@@ -77,6 +77,7 @@
 type Times struct {
 	Dial    time.Duration // a dial
 	Silence time.Duration // a word from a switch that has a set-up
+	Rest    time.Duration // a call's next set-up to a switch after a release that went out late
 }
 
 // dialResult is the metrics label of a dial's error.
