--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -296,3 +296,60 @@
 		f.want(t, f.sent, name+" set-up")
 	}
 }
+
+// Guards against callers who are never told: a proxy that stops ends what stands at
+// switches that may be gone, and leaves the rest to the next one.
+func TestUnprovenCallsEndWithTheProxy(t *testing.T) {
+	c, f := newCore(t)
+	list(c, false, Member{ID: "a", Addr: "x", Number: 1}, Member{ID: "b", Addr: "y", Number: 2})
+	for id, name := range map[uint64]string{1: "a", 2: "b"} {
+		offer(t, c, f, id, int(id))
+		f.want(t, f.sent, name+" set-up")
+		peerOf(t, c, name).Answered(id, nil)
+		f.want(t, f.told, "answer ")
+	}
+	f.unproven = "a"
+	c.EndUnproven(t.Context())
+	f.want(t, f.told, "cut")
+	f.want(t, f.sent, "a release")
+	if len(f.told) > 0 {
+		t.Errorf("told %q: what stands at a switch that lives goes on", <-f.told)
+	}
+}
+
+// Guards against set-ups that a kill finds: what is unanswered is failed before.
+func TestUnansweredCallsFailBeforeTheKill(t *testing.T) {
+	c, f := newCore(t)
+	list(c, false, Member{ID: "a", Addr: "x", Number: 1})
+	offer(t, c, f, 1, 1)
+	f.want(t, f.sent, "a set-up")
+	c.Stop()
+	c.FailUnanswered()
+	f.want(t, f.sent, "a give-up")
+	f.want(t, f.told, "failed")
+	if err := c.Settle(t.Context(), true); err != nil || len(f.told) > 0 {
+		t.Errorf("%v; %d more answers", err, len(f.told))
+	}
+}
+
+// A list that comes late cuts only what stood before the restart that it tells of; and a
+// switch that another one's address is given to has gone, told or not.
+func TestLateListsCutWhatStoodBefore(t *testing.T) {
+	c, f := newCore(t)
+	list(c, false, Member{ID: "a", Addr: "x", Number: 1})
+	offer(t, c, f, 1, 1)
+	f.want(t, f.sent, "a set-up")
+	restarted := time.Now()
+	time.Sleep(time.Millisecond)
+	peerOf(t, c, "a").Answered(1, nil)
+	f.want(t, f.told, "answer ")
+	list(c, false, Member{ID: "a", Addr: "x", Number: 1, Started: restarted})
+	if _, standing := c.Counts(); standing != 1 || len(f.told) > 0 {
+		t.Fatalf("%d calls stand: one that was set up after the restart was cut", standing)
+	}
+	list(c, false, Member{ID: "b", Addr: "x", Number: 1})
+	f.want(t, f.told, "cut")
+	f.want(t, f.sent, "a release", "close a")
+	offer(t, c, f, 2, 1)
+	f.want(t, f.sent, "b set-up")
+}
--- a/internal/platform/channel.go
+++ b/internal/platform/channel.go
@@ -49,6 +49,7 @@
 	// Missing is called after each poll that failed: the list may be old.
 	Missing func()
 
+	dial     func(ctx context.Context, network, addr string) (net.Conn, error)
 	cursor   int64         // the last event taken; the follower's own
 	patience time.Duration // of the next poll; the follower's own
 	failed   int           // polls in a row that failed; the follower's own
@@ -61,7 +62,8 @@
 
 // NewChannel makes a channel that List hears of.
 func NewChannel(addr string, list func(core.List), log *slog.Logger, count *metrics.Set) *Channel {
-	return &Channel{Addr: addr, List: list, Log: log, Count: count, Missing: func() {}, patience: pollPatience,
+	var dialer net.Dialer
+	return &Channel{dial: dialer.DialContext, Addr: addr, List: list, Log: log, Count: count, Missing: func() {}, patience: pollPatience,
 		stop: func() {}, wake: make(chan struct{}, 1)}
 }
 
@@ -196,8 +198,12 @@
 func (c *Channel) Follow(ctx context.Context) error {
 	// A dial has a limit of its own, and there is no limit on connections: a dial to a
 	// channel that is cut off outlives its poll, and would keep the next ones waiting.
-	dialer := net.Dialer{Timeout: channelDial}
-	tr := &http.Transport{MaxIdleConns: 1, DisableCompression: true, DialContext: dialer.DialContext}
+	tr := &http.Transport{MaxIdleConns: 1, DisableCompression: true,
+		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
+			ctx, cancel := context.WithTimeout(ctx, channelDial)
+			defer cancel()
+			return c.dial(ctx, network, addr)
+		}}
 	defer tr.CloseIdleConnections()
 	client := &http.Client{Transport: tr}
 	gap := channelFirst
--- a/internal/platform/front_test.go
+++ b/internal/platform/front_test.go
@@ -292,3 +292,108 @@
 		t.Errorf("asked %d times, %v", asked.Load(), err)
 	}
 }
+
+// Guards against requests that are lost when a proxy stops: a connection stays while a
+// call stands that was answered on it, what is asked on it meanwhile is refused, and it is
+// closed when nothing is left, after what was written before was answered.
+func TestDrainClosesWhatNothingIsLeftOn(t *testing.T) {
+	f, dial := serveFront(t, 8, 8, time.Hour, time.Hour)
+	standing, idle, half := dial(), dial(), dial()
+	for _, c := range []net.Conn{standing, idle, half} {
+		say(t, c, test)
+		hear(t, c)
+	}
+	say(t, standing, setUpOf(1))
+	from := offered(t, f)
+	if err := from.Answer(1, []byte("d")); err != nil {
+		t.Fatal(err)
+	}
+	hear(t, standing)
+	m := setUpOf(3)
+	b, err := m.Append(nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := half.Write(b[:len(b)/2]); err != nil { // begun, and not whole yet
+		t.Fatal(err)
+	}
+	for begun := false; !begun; time.Sleep(time.Millisecond) {
+		f.mu.Lock()
+		begun = true
+		for c := range f.conns {
+			begun = begun && (!c.awaiting || c.LocalAddr() == nil || c.RemoteAddr().String() != half.LocalAddr().String())
+		}
+		f.mu.Unlock()
+	}
+	f.Calls = stopped{}
+	f.Drain()
+	if got := hear(t, idle); got != "" {
+		t.Errorf("got %q, want the end of the idle connection", got)
+	}
+	if _, err := half.Write(b[len(b)/2:]); err != nil {
+		t.Fatal(err)
+	}
+	if got := hear(t, half); got != "12 3 42" {
+		t.Errorf("got %q for a set-up that was being written", got)
+	}
+	if got := hear(t, half); got != "" {
+		t.Errorf("got %q, want the end", got)
+	}
+	say(t, standing, setUpOf(2))
+	if got := hear(t, standing); got != "12 2 42" {
+		t.Errorf("got %q for a set-up beside a call that stands", got)
+	}
+	from.Release(1, false)
+	if got := hear(t, standing); got != "12 1 16" {
+		t.Errorf("got %q for the end of the call", got)
+	}
+	if got := hear(t, standing); got != "" {
+		t.Errorf("got %q, want the end once nothing is left", got)
+	}
+}
+
+// stopped is a core that takes nothing any more.
+type stopped struct{}
+
+func (stopped) Offer(*core.SetUp, core.Caller) error { return core.ErrBusy }
+func (stopped) Leave(uint64)                         {}
+
+// Guards against dials to a command channel that is cut off: they come up only with the
+// kernel's retries, which double, and kept the polls after them waiting.
+func TestChannelThatWasCutOffIsHeardSoon(t *testing.T) {
+	var up atomic.Bool
+	answered := make(chan bool, 64)
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		answered <- true
+		io.WriteString(w, `{"cursor":1,"cmds":[]}`)
+	}))
+	defer srv.Close()
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	c := NewChannel(srv.Listener.Addr().String(), nil, slog.New(slog.DiscardHandler), metrics.New())
+	c.dial = func(ctx context.Context, network, addr string) (net.Conn, error) {
+		if !up.Load() {
+			<-ctx.Done() // however long it takes, as a dial into the void
+			return nil, ctx.Err()
+		}
+		var d net.Dialer
+		return d.DialContext(ctx, network, addr)
+	}
+	done := make(chan error, 1)
+	go func() { done <- c.Follow(ctx) }()
+	time.Sleep(3 * time.Second)
+	up.Store(true)
+	began := time.Now()
+	select {
+	case <-answered:
+	case <-time.After(20 * time.Second):
+		t.Fatal("never asked again")
+	}
+	if took := time.Since(began); took > 3*time.Second {
+		t.Errorf("asked %v after it could be reached", took)
+	}
+	cancel()
+	if err := <-done; err != nil {
+		t.Error(err)
+	}
+}
