--- a/decide/liveness/liveness.go
+++ b/decide/liveness/liveness.go
@@ -53,6 +53,9 @@
 	LeastUnanswered: 2,
 }
 
+// mostDoublings bounds Patience.
+const mostDoublings = 2
+
 // Detector judges one peer. Make one with New.
 type Detector struct {
 	set           Settings
@@ -84,10 +87,13 @@
 	Next time.Time
 }
 
-// Received notes that the peer said something, or answered a ping.
-func (d *Detector) Received(now time.Time) {
+// Received notes that the peer said something, or answered a ping. It says whether the
+// peer had been in doubt before that.
+func (d *Detector) Received(now time.Time) (recovered bool) {
+	recovered = d.ignored+d.unanswered > 0
 	d.lastReceived, d.ignored = now, 0
 	d.alive(now)
+	return recovered
 }
 
 // alive notes evidence of life of the machine.
@@ -100,6 +106,11 @@
 // nobody tells.
 func (d *Detector) Ignored() { d.ignored++ }
 
+// Patience is how many times its usual wait for an answer a new connection deserves: one
+// after the other that is ignored is given longer, so that a process that hangs does not
+// find many dead ones when it goes on.
+func (d *Detector) Patience() int { return 1 << min(d.ignored, mostDoublings) }
+
 // Connected notes that a new connection came up. It is evidence of life, but not always
 // of the same one: a connection that was reset and then others that did not come up are
 // what a machine leaves whose address another takes. The calls from before are over then.
--- a/decide/liveness/liveness_test.go
+++ b/decide/liveness/liveness_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 )
@@ -89,6 +90,21 @@
 	}
 }
 
+func TestPatienceWithWhatIsIgnored(t *testing.T) {
+	d := New(Defaults, start)
+	var got []int
+	for range 4 {
+		got = append(got, d.Patience())
+		d.Ignored()
+	}
+	if want := []int{1, 2, 4, 4}; !slices.Equal(got, want) {
+		t.Errorf("%v, want %v", got, want)
+	}
+	if !d.Received(at(1)) || d.Received(at(2)) || d.Patience() != 1 {
+		t.Error("what is received ends the doubt, and says so once")
+	}
+}
+
 func TestRefused(t *testing.T) {
 	d := New(Defaults, start)
 	d.Standing(3)
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -73,7 +73,7 @@
 	t.Helper()
 	for _, m := range c.allMembers() {
 		if m.ID == id {
-			return &Peer{c, m}
+			return &Peer{c, m, id}
 		}
 	}
 	t.Fatalf("no switch %s", id)
--- a/internal/core/peer.go
+++ b/internal/core/peer.go
@@ -23,6 +23,7 @@
 type Peer struct {
 	core   *Core
 	member *member
+	id     string
 }
 
 // Answered tells that the switch answered.
@@ -67,7 +68,7 @@
 
 // Group tells the state of the group toward the switch.
 func (p *Peer) Group(r brain.Report) {
-	p.core.tell(brain.Probed{Host: p.member.ID, Report: r})
+	p.core.tell(brain.Probed{Host: p.id, Report: r})
 }
 
 // CallsOver tells that what has stood at the switch since before a time is over, though it
--- a/internal/trunk/link.go
+++ b/internal/trunk/link.go
@@ -354,7 +354,10 @@
 
 // received notes that the switch said something. The lock is held.
 func (l *Link) received() {
-	l.detector.Received(time.Now())
+	if l.detector.Received(time.Now()) && len(l.standing) > 0 {
+		// What it said meanwhile may have gone to connections that are closed here.
+		time.AfterFunc(renewAfter, l.renewConnection)
+	}
 	l.verify = false
 	l.enter(liveness.Alive)
 }
--- a/internal/trunk/session.go
+++ b/internal/trunk/session.go
@@ -107,7 +107,7 @@
 func (s *session) sent() {
 	if !s.waiting {
 		s.waiting = true
-		s.silence.Reset(s.link.times.Silence)
+		s.silence.Reset(s.link.times.Silence * time.Duration(s.link.detector.Patience()))
 	}
 }
 
