--- a/internal/trunk/link.go
+++ b/internal/trunk/link.go
@@ -26,7 +26,10 @@
 	// A switch may go on for a moment on a connection that broke. What it says of calls that
 	// stand there it repeats on the next connection that is opened after that.
 	renewAfter = 300 * time.Millisecond
-	maxPending = 1024 // releases kept for a switch without a connection
+	// formerCalls is how long calls from before a start are reckoned with where none is
+	// known to stand.
+	formerCalls = 30 * time.Second
+	maxPending  = 1024 // releases kept for a switch without a connection
 	// A dial that was given up goes on for so many times its limit: a connection that comes
 	// up late and is closed at once may take a release with it.
 	lateDials = 3
@@ -58,6 +61,7 @@
 	group  errgroup.Group // the keeper and the readers
 	turn   chan struct{}  // held by whoever dials
 	wake   chan struct{}  // has a value when the keeper has something to look at
+	made   time.Time
 
 	mu      sync.Mutex // guards all below
 	closed  bool       // no new session
@@ -86,6 +90,7 @@
 	l := &Link{member: m, up: up, log: log.With("switch", m.ID, "addr", m.Addr), count: count, dial: dial, times: times,
 		turn: make(chan struct{}, 1), wake: make(chan struct{}, 1), sessions: map[*session]bool{}, released: map[uint64]time.Time{}, standing: map[uint64]time.Time{},
 		detector: liveness.New(liveness.Defaults, time.Now())}
+	l.made = time.Now()
 	l.watch = time.AfterFunc(time.Hour, l.check)
 	l.watch.Stop()
 	l.ctx, l.stop = context.WithCancel(ctx)
@@ -354,7 +359,7 @@
 
 // received notes that the switch said something. The lock is held.
 func (l *Link) received() {
-	if l.detector.Received(time.Now()) && len(l.standing) > 0 {
+	if l.detector.Received(time.Now()) && l.mayHaveCalls() {
 		// What it said meanwhile may have gone to connections that are closed here.
 		time.AfterFunc(renewAfter, l.renewConnection)
 	}
@@ -475,7 +480,7 @@
 		l.silent = nil
 	}
 	open, releases := l.detach(s)
-	if !s.replaced && len(l.standing) > 0 {
+	if !s.replaced && l.mayHaveCalls() {
 		time.AfterFunc(renewAfter, l.renewConnection)
 	}
 	switch reset := errors.Is(err, syscall.ECONNRESET); {
@@ -491,10 +496,16 @@
 	return open
 }
 
+// mayHaveCalls says whether releases may come from the switch: calls stand there, or may do
+// so since before this proxy started. The lock is held.
+func (l *Link) mayHaveCalls() bool {
+	return len(l.standing) > 0 || time.Since(l.made) < formerCalls
+}
+
 // renewConnection opens another connection in the place of the present one.
 func (l *Link) renewConnection() {
 	l.mu.Lock()
-	l.renew = !l.closed && len(l.standing) > 0
+	l.renew = !l.closed && l.mayHaveCalls()
 	l.mu.Unlock()
 	l.wakeKeeper()
 }
