Know a replaced switch by a reset after silence or while it drains; renew after it is up

The rest after a late release counted every release, so that a retry 0.5 s after a reset was held back (TestScripts/reset, once). Change: a reset of what had fallen silent, or of a switch that drains by the list, and a connection that then comes up end the calls from before; renewals follow 0.3 s after the next connection; releases sent within 50 ms of their end are not late.

--- a/decide/liveness/liveness.go
+++ b/decide/liveness/liveness.go
@@ -67,6 +67,8 @@
 	reset         bool      // the connection was reset since the last evidence
 	standing      int
 	cautiousUntil time.Time
+	draining      bool // by the list, it takes no new connections
+	silentReset   bool // a connection that had fallen silent was reset since the last evidence
 }
 
 // New makes a detector for a peer that nothing is known of.
@@ -98,7 +100,8 @@
 
 // alive notes evidence of life of the machine.
 func (d *Detector) alive(now time.Time) {
-	d.state, d.lastEvidence, d.unanswered, d.reset = Alive, now, 0, false
+	d.state, d.lastEvidence, d.unanswered = Alive, now, 0
+	d.reset, d.silentReset = false, false
 }
 
 // Ignored notes a connection on which a set-up went out and nothing came back in time. A
@@ -113,17 +116,27 @@
 
 // Connected notes that a new connection came up. It is evidence of life, but not always
 // of the same one: a connection that was reset and then others that did not come up are
-// what a machine leaves whose address another takes. The calls from before are over then.
+// what a machine leaves whose address another takes, and so is the reset of one that had
+// fallen silent. One that drains takes no new connection itself. The calls from before are
+// over then.
 func (d *Detector) Connected(now time.Time) Verdict {
-	other := d.reset && d.unanswered >= d.set.LeastUnanswered && d.standing > 0
+	gone := d.silentReset || d.reset && (d.draining || d.unanswered >= d.set.LeastUnanswered)
+	other := gone && d.standing > 0
 	d.alive(now)
 	v := d.Check(now)
 	v.CallsOver = v.CallsOver || other
 	return v
 }
 
-// Reset notes that a connection was reset, and not by this side.
-func (d *Detector) Reset() { d.reset = true }
+// Reset notes that a connection was reset, and not by this side; silent says that it had
+// fallen silent before.
+func (d *Detector) Reset(silent bool) {
+	d.reset = true
+	d.silentReset = d.silentReset || silent
+}
+
+// Draining notes whether the list says that the peer drains.
+func (d *Detector) Draining(yes bool) { d.draining = yes }
 
 // ReplacedReset notes that a silent connection was reset in answer to its close, after a
 // new one came up: whoever answers there does not know the old connection, so it is
--- a/decide/liveness/liveness_test.go
+++ b/decide/liveness/liveness_test.go
@@ -125,19 +125,23 @@
 
 func TestAnotherMachineAtTheAddress(t *testing.T) {
 	for name, tc := range map[string]struct {
-		reset, unanswered, received bool
-		want                        bool
+		reset, silent, draining, unanswered, received bool
+		want                                          bool
 	}{
 		"a reset alone is a fault of the connection": {reset: true},
 		"a cut that ends":                               {unanswered: true},
 		"a reset and then nothing comes up":             {reset: true, unanswered: true, want: true},
 		"... but something was received after all that": {reset: true, unanswered: true, received: true},
+		"a reset of what had fallen silent":             {reset: true, silent: true, want: true},
+		"a reset of one that takes no new connections":  {reset: true, draining: true, want: true},
+		"one that drains, and takes one after all":      {draining: true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			d := New(Defaults, start)
 			d.Standing(2)
+			d.Draining(tc.draining)
 			if tc.reset {
-				d.Reset()
+				d.Reset(tc.silent)
 			}
 			if tc.unanswered {
 				d.Unanswered()
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -78,6 +78,8 @@
 	// Unproven says whether calls that stand there may be over: the switch is silent,
 	// and a verification failed.
 	Unproven() bool
+	// SetDraining says whether the switch drains by the list.
+	SetDraining(yes bool)
 	// Leave says that the switch has gone: nothing new is to be opened to its address.
 	Leave()
 	Close()
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -45,6 +45,7 @@
 func (l fakeLink) Caution(time.Time) {}
 func (l fakeLink) Unproven() bool    { return l.f.unproven == l.id }
 func (l fakeLink) Leave()            {}
+func (l fakeLink) SetDraining(bool)  {}
 func (l fakeLink) Close()            { l.f.sent <- "close " + l.id }
 
 func (f *fake) Answer(_ uint64, d []byte) error      { f.told <- "answer " + string(d); return nil }
--- a/internal/core/members.go
+++ b/internal/core/members.go
@@ -99,6 +99,7 @@
 			c.cutAll(old, EndRestarted, m.Started) // what stood there before is cut
 		}
 		old.Member = m
+		old.link.SetDraining(m.State == brain.Draining)
 		return true
 	}
 	added := &member{Member: m, source: l.Source}
@@ -108,6 +109,7 @@
 		return false
 	}
 	added.link = link
+	link.SetDraining(m.State == brain.Draining)
 	if old != nil {
 		c.remove(old, l.Graceful)
 	}
--- a/internal/standin/switch.go
+++ b/internal/standin/switch.go
@@ -254,6 +254,8 @@
 		}
 	}
 	p.closed(c)
+	c.message.Lock() // what is being written is written whole
+	defer c.message.Unlock()
 }
 
 // closed notes that a connection ended: the set-ups open on it are given up.
--- a/internal/trunk/link.go
+++ b/internal/trunk/link.go
@@ -47,6 +47,15 @@
 	EvidenceMissing()
 }
 
+// pendingRelease is a release that the switch has not surely had.
+type pendingRelease struct {
+	id    uint64
+	since time.Time // of the end that it tells of
+}
+
+// promptRelease is how soon after an end its release counts as sent with it.
+const promptRelease = 50 * time.Millisecond
+
 // Link keeps one connection to one switch: group states and releases come on
 // it also when nothing is sent. It implements core.Link.
 type Link struct {
@@ -72,13 +81,14 @@
 	released map[uint64]time.Time
 	silent   *session // fell silent, and is kept open: whether it is reset once another comes up tells who that is
 	sessions map[*session]bool
-	pending  []uint64             // releases to be sent first on the next connection
+	pending  []pendingRelease     // to be sent first on the next connection
 	standing map[uint64]time.Time // calls that stand there, as far as this side knows, and since when
 	detector *liveness.Detector
 	state    liveness.State // as logged last
 	watch    *time.Timer    // when the detector is to be asked again
 	verify   bool           // the detector asks for a verification
-	renew    bool           // a connection broke: what was said on it meanwhile comes on another
+	renew    bool           // another connection is to take the place of the present one
+	renewUp  bool           // ... of the next one that comes up, some time after that
 	lastDial struct {       // how the last dial went
 		at  time.Time
 		err error
@@ -248,6 +258,10 @@
 		}
 	}
 	l.current, l.silent = s, nil
+	if l.renewUp {
+		l.renewUp = false
+		l.renewLater()
+	}
 	l.group.Go(func() error {
 		s.read()
 		return nil
@@ -268,19 +282,19 @@
 	}
 	now := time.Now()
 	maps.DeleteFunc(l.released, func(_ uint64, at time.Time) bool { return now.Sub(at) >= l.times.Rest })
-	for _, id := range pending {
-		if len(l.released) < maxPending {
-			l.released[id] = now
+	for _, r := range pending {
+		if now.Sub(r.since) > promptRelease && len(l.released) < maxPending {
+			l.released[r.id] = now
 		}
 	}
 	l.mu.Unlock()
-	for i, id := range pending {
-		if err := conn.Release(id); err != nil {
+	for i, r := range pending {
+		if err := conn.Release(r.id); err != nil {
 			conn.Close()
 			l.mu.Lock()
 			defer l.mu.Unlock()
-			for _, id := range pending[i:] {
-				l.keepPending(id)
+			for _, r := range pending[i:] {
+				l.keepPending(r)
 			}
 			return fmt.Errorf("connection broke at once: %w", err)
 		}
@@ -321,6 +335,9 @@
 	case isUnanswered(err):
 		l.detector.Unanswered()
 		v = l.detector.Check(now)
+		if current == nil {
+			l.renewLater() // it may come up late, and carry something
+		}
 	default:
 		l.mu.Unlock()
 		return // this machine's trouble says nothing of the switch
@@ -359,9 +376,8 @@
 
 // received notes that the switch said something. The lock is held.
 func (l *Link) received() {
-	if l.detector.Received(time.Now()) && l.mayHaveCalls() {
-		// What it said meanwhile may have gone to connections that are closed here.
-		time.AfterFunc(renewAfter, l.renewConnection)
+	if l.detector.Received(time.Now()) {
+		l.renewLater() // what it said meanwhile may have gone to connections that are closed here
 	}
 	l.verify = false
 	l.enter(liveness.Alive)
@@ -476,18 +492,19 @@
 	l.mu.Lock()
 	s.logEnd(err)
 	delete(l.sessions, s)
-	if l.silent == s {
+	wasSilent := l.silent == s
+	if wasSilent {
 		l.silent = nil
 	}
 	open, releases := l.detach(s)
-	if !s.replaced && l.mayHaveCalls() {
-		time.AfterFunc(renewAfter, l.renewConnection)
+	if !s.replaced {
+		l.renewLater()
 	}
 	switch reset := errors.Is(err, syscall.ECONNRESET); {
 	case reset && s.challenged:
 		l.carryOut(l.detector.ReplacedReset(time.Now()), err, s.replacedAt)
 	case reset && !s.replaced:
-		l.detector.Reset()
+		l.detector.Reset(wasSilent)
 		l.mu.Unlock()
 	default:
 		l.mu.Unlock()
@@ -502,6 +519,18 @@
 	return len(l.standing) > 0 || time.Since(l.made) < formerCalls
 }
 
+// renewLater opens another connection some time after the present one, or the next one that
+// comes up. The lock is held.
+func (l *Link) renewLater() {
+	switch {
+	case !l.mayHaveCalls():
+	case l.current == nil:
+		l.renewUp = true
+	default:
+		time.AfterFunc(renewAfter, l.renewConnection)
+	}
+}
+
 // renewConnection opens another connection in the place of the present one.
 func (l *Link) renewConnection() {
 	l.mu.Lock()
@@ -512,25 +541,27 @@
 
 // detach takes everything off a session that takes nothing more: the set-ups that are
 // open on it, and the releases that the switch is to be sent on another. The lock is held.
-func (l *Link) detach(s *session) (open, releases []uint64) {
+func (l *Link) detach(s *session) (open []uint64, releases []pendingRelease) {
 	s.waiting = false
 	s.silence.Stop()
 	if l.current == s {
 		l.current = nil
 	}
+	now := time.Now()
 	for id := range s.open {
 		open = append(open, id)
+		releases = append(releases, pendingRelease{id, now})
 	}
-	releases = append(open[:len(open):len(open)], s.unproven...)
+	releases = append(releases, s.unproven...)
 	s.open, s.unproven = map[uint64]bool{}, nil
 	return open, releases
 }
 
 // releaseAll tells the switch that calls are over: on the session that took another one's
 // place, or first thing on the next.
-func (l *Link) releaseAll(ids []uint64) {
-	for _, id := range ids {
-		l.Release(id)
+func (l *Link) releaseAll(releases []pendingRelease) {
+	for _, r := range releases {
+		l.release(r)
 	}
 }
 
@@ -572,8 +603,8 @@
 // moment ago: its release is not sent yet, may be lost, or went out late. Such a release is
 // dropped here, as sent later it would end the new attempt. The lock is held.
 func (l *Link) restsAfterRelease(on *session, id uint64) bool {
-	drop := func(ids []uint64) []uint64 {
-		return slices.DeleteFunc(ids, func(other uint64) bool { return other == id })
+	drop := func(releases []pendingRelease) []pendingRelease {
+		return slices.DeleteFunc(releases, func(r pendingRelease) bool { return r.id == id })
 	}
 	had := len(l.pending)
 	l.pending = drop(l.pending)
@@ -597,32 +628,34 @@
 // Release tells the switch that a call is over: now, or without a connection,
 // first thing on the next one. Past maxPending the switch is told when it speaks
 // of the call again.
-func (l *Link) Release(id uint64) {
+func (l *Link) Release(id uint64) { l.release(pendingRelease{id, time.Now()}) }
+
+func (l *Link) release(r pendingRelease) {
 	l.mu.Lock()
 	for s := range l.sessions {
-		s.answered(id)
+		s.answered(r.id)
 	}
-	l.stands(id, false)
+	l.stands(r.id, false)
 	s := l.current
 	switch {
 	case s == nil:
-		l.keepPending(id)
+		l.keepPending(r)
 	case len(s.unproven) < maxUnproven:
-		s.unproven = append(s.unproven, id)
+		s.unproven = append(s.unproven, r)
 	}
 	l.mu.Unlock()
 	if s == nil {
 		return
 	}
-	if err := s.write(nil, func() error { return s.conn.Release(id) }); err != nil {
-		l.log.Debug("release not sent", "call", callName(id), "error", err)
+	if err := s.write(nil, func() error { return s.conn.Release(r.id) }); err != nil {
+		l.log.Debug("release not sent", "call", callName(r.id), "error", err)
 	}
 }
 
 // keepPending keeps a release for the next connection. The lock is held.
-func (l *Link) keepPending(id uint64) {
+func (l *Link) keepPending(r pendingRelease) {
 	if len(l.pending) < maxPending {
-		l.pending = append(l.pending, id)
+		l.pending = append(l.pending, r)
 	}
 }
 
@@ -646,6 +679,13 @@
 	return l.detector.Unproven()
 }
 
+// SetDraining says whether the switch drains by the list.
+func (l *Link) SetDraining(yes bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.detector.Draining(yes)
+}
+
 // Leave says that the switch has gone by the list. Nothing is dialled any more: another
 // switch may have its address.
 func (l *Link) Leave() {
--- a/internal/trunk/session.go
+++ b/internal/trunk/session.go
@@ -31,15 +31,15 @@
 	writing sync.Mutex // one message at a time
 
 	// Under the link's lock:
-	open       map[uint64]bool // set-ups out on it that have no answer
-	unproven   []uint64        // releases written since something was received: they may be lost
-	silence    *time.Timer     // ends the session; runs while a set-up waits for any word
-	waiting    bool            // the timer runs
-	heard      time.Time       // when something was received last, or it came up
-	replaced   bool            // another session takes the set-ups
-	replacedAt time.Time       // ... since then
-	challenged bool            // it was silent by then: a reset in answer to its close tells of another peer
-	why        string          // metrics label of its end, where this side ended it
+	open       map[uint64]bool  // set-ups out on it that have no answer
+	unproven   []pendingRelease // releases written since something was received: they may be lost
+	silence    *time.Timer      // ends the session; runs while a set-up waits for any word
+	waiting    bool             // the timer runs
+	heard      time.Time        // when something was received last, or it came up
+	replaced   bool             // another session takes the set-ups
+	replacedAt time.Time        // ... since then
+	challenged bool             // it was silent by then: a reset in answer to its close tells of another peer
+	why        string           // metrics label of its end, where this side ended it
 }
 
 func newSession(l *Link, conn Conn) *session {
@@ -72,6 +72,7 @@
 	out := s
 	if !s.replaced {
 		out, l.silent = l.silent, s
+		l.renewLater()
 	}
 	if out != nil {
 		out.end(metrics.CloseSilent)
