Keep a connection cut in a message as a witness; doubt calls after a reset out of silence

Change: such a connection is read on beside its successor; after a reset of one that was quiet for 1 s the calls from before are over 7 s after the last word if the list can't be had then.

--- a/decide/liveness/liveness.go
+++ b/decide/liveness/liveness.go
@@ -69,6 +69,13 @@
 	cautiousUntil time.Time
 	draining      bool // by the list, it takes no new connections
 	silentReset   bool // a connection that had fallen silent was reset since the last evidence
+	doubt         doubt
+}
+
+// doubt is about the calls from before a reset that may have come from another process.
+type doubt struct {
+	since time.Time // the last that was received before it; zero: no doubt
+	reset time.Time
 }
 
 // New makes a detector for a peer that nothing is known of.
@@ -85,6 +92,8 @@
 	// CallsOver says, once, that the calls that stood there are over. After Connected and
 	// ReplacedReset it speaks of those from before the new connection.
 	CallsOver bool
+	// Before bounds these: calls that have stood since then are not meant. Zero: all are.
+	Before time.Time
 	// Next is when to ask again if nothing happens; zero: not needed.
 	Next time.Time
 }
@@ -123,6 +132,9 @@
 	gone := d.silentReset || d.reset && (d.draining || d.unanswered >= d.set.LeastUnanswered)
 	other := gone && d.standing > 0
 	d.alive(now)
+	if other {
+		d.doubt = doubt{}
+	}
 	v := d.Check(now)
 	v.CallsOver = v.CallsOver || other
 	return v
@@ -130,11 +142,21 @@
 
 // Reset notes that a connection was reset, and not by this side; silent says that it had
 // fallen silent before.
-func (d *Detector) Reset(silent bool) {
+// A reset of one on which nothing came for some time may come from another process at the
+// address, or be a fault of the network. The list tells which, if it can be had; while
+// evidence is missing, the calls are over OverAfter the last word of before.
+func (d *Detector) Reset(now time.Time, silent bool) Verdict {
 	d.reset = true
 	d.silentReset = d.silentReset || silent
+	if now.Sub(d.lastReceived) >= quiet && d.doubt.since.IsZero() && d.standing > 0 {
+		d.doubt = doubt{since: d.lastReceived, reset: now}
+	}
+	return d.Check(now)
 }
 
+// quiet is how long nothing came on a connection whose reset may be another's.
+const quiet = time.Second
+
 // Draining notes whether the list says that the peer drains.
 func (d *Detector) Draining(yes bool) { d.draining = yes }
 
@@ -143,6 +165,7 @@
 // another machine or another process. The calls from before the new one are over.
 func (d *Detector) ReplacedReset(now time.Time) Verdict {
 	over := d.standing > 0
+	d.doubt = doubt{}
 	v := d.Check(now)
 	v.CallsOver = over
 	return v
@@ -182,6 +205,7 @@
 // Check returns what follows at a time.
 func (d *Detector) Check(now time.Time) Verdict {
 	if d.standing == 0 {
+		d.doubt = doubt{}
 		if d.state == Suspected {
 			d.state = Alive // nothing depends on it any more
 		}
@@ -194,20 +218,28 @@
 		d.state, d.standing = Unreachable, 0
 		return Verdict{State: d.state, CallsOver: true}
 	}
+	doubted := d.doubt.since.Add(d.set.OverAfter)
+	if !d.doubt.since.IsZero() && !now.Before(doubted) {
+		before := d.doubt.reset
+		d.doubt = doubt{}
+		if now.Before(d.cautiousUntil) {
+			return Verdict{State: d.state, CallsOver: true, Before: before, Next: now.Add(d.set.CautiousAfter)}
+		}
+	}
 	verify := d.verifyAt()
 	if now.Before(verify) {
 		d.state = Alive
-		return Verdict{State: d.state, Next: soonest(now, verify, hung)}
+		return Verdict{State: d.state, Next: soonest(now, verify, hung, doubted)}
 	}
 	d.state = Suspected
-	return Verdict{State: d.state, Verify: true, Next: soonest(now, over, hung)}
+	return Verdict{State: d.state, Verify: true, Next: soonest(now, over, hung, doubted)}
 }
 
-// soonest is the first of two times that is still to come; zero if there is none, and the
+// soonest is the first of some times that is still to come; zero if there is none, and the
 // next evidence decides.
-func soonest(now, a, b time.Time) time.Time {
+func soonest(now time.Time, times ...time.Time) time.Time {
 	var first time.Time
-	for _, t := range []time.Time{a, b} {
+	for _, t := range times {
 		if t.After(now) && (first.IsZero() || t.Before(first)) {
 			first = t
 		}
--- a/decide/liveness/liveness_test.go
+++ b/decide/liveness/liveness_test.go
@@ -141,7 +141,7 @@
 			d.Standing(2)
 			d.Draining(tc.draining)
 			if tc.reset {
-				d.Reset(tc.silent)
+				d.Reset(start, tc.silent)
 			}
 			if tc.unanswered {
 				d.Unanswered()
@@ -155,6 +155,25 @@
 			}
 		})
 	}
+	for _, cautious := range []bool{false, true} {
+		d := New(Defaults, start)
+		d.Standing(1)
+		d.Reset(at(3), false) // by a fault, or by another process
+		d.Connected(at(3))
+		d.Received(at(4))
+		if cautious {
+			d.Caution(at(60))
+		}
+		if v := d.Check(at(6.9)); v.CallsOver {
+			t.Errorf("%+v before its time", v)
+		}
+		if v := d.Check(at(7)); v.CallsOver != cautious || cautious && !v.Before.Equal(at(3)) {
+			t.Errorf("cautious %t: %+v", cautious, v)
+		}
+		if v := d.Check(at(7.1)); v.CallsOver {
+			t.Errorf("%+v twice", v)
+		}
+	}
 	d := New(Defaults, start)
 	if v := d.ReplacedReset(at(1)); v.CallsOver {
 		t.Error("nothing stood there")
--- a/internal/platform/link.go
+++ b/internal/platform/link.go
@@ -7,6 +7,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"strconv"
 	"time"
@@ -112,6 +113,13 @@
 // CloseWrite says that nothing more will be written.
 func (c *switchConn) CloseWrite() error { return closeWrite(c.Conn) }
 
+// Drain reads on until the connection ends.
+func (c *switchConn) Drain() error {
+	_ = c.SetReadDeadline(time.Time{}) // one that can't be set is closed, which Copy finds out
+	_, err := io.Copy(io.Discard, c.Conn)
+	return err
+}
+
 // closeWrite ends one direction of a connection.
 func closeWrite(c net.Conn) error {
 	half, ok := c.(interface{ CloseWrite() error })
--- a/internal/trunk/link.go
+++ b/internal/trunk/link.go
@@ -397,6 +397,9 @@
 // carryOut does what a verdict says; the calls that it may say are over are those from
 // before a time. It takes over the lock and lets it go.
 func (l *Link) carryOut(v liveness.Verdict, cause error, before time.Time) {
+	if !v.Before.IsZero() {
+		before = v.Before
+	}
 	l.enter(v.State)
 	l.verify = v.Verify
 	if !v.Next.IsZero() {
@@ -504,8 +507,8 @@
 	case reset && s.challenged:
 		l.carryOut(l.detector.ReplacedReset(time.Now()), err, s.replacedAt)
 	case reset && !s.replaced:
-		l.detector.Reset(wasSilent)
-		l.mu.Unlock()
+		now := time.Now()
+		l.carryOut(l.detector.Reset(now, wasSilent), err, now)
 	default:
 		l.mu.Unlock()
 	}
--- a/internal/trunk/session.go
+++ b/internal/trunk/session.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net"
+	"os"
 	"sync"
 	"time"
 
@@ -61,13 +62,19 @@
 // silent takes a session out of use on which a set-up went out and nothing at all came
 // since: the connection was forgotten on its way, or the switch can't be reached.
 func (s *session) silent() {
-	l := s.link
-	l.mu.Lock()
+	s.link.mu.Lock()
 	if !s.waiting {
-		l.mu.Unlock()
+		s.link.mu.Unlock()
 		return
 	}
-	l.log.Warn("connection to a switch is silent", "for", l.times.Silence, "open", len(s.open), "standing", len(l.standing))
+	s.retire("connection to a switch is silent")
+}
+
+// retire takes a silent session out of use. It is kept open beside its successor. The
+// link's lock is held, and let go.
+func (s *session) retire(why string) {
+	l := s.link
+	l.log.Warn(why, "open", len(s.open), "standing", len(l.standing))
 	open, releases := l.detach(s)
 	out := s
 	if !s.replaced {
@@ -122,7 +129,7 @@
 func (s *session) replace() {
 	now := time.Now()
 	s.replaced, s.replacedAt = true, now
-	s.challenged = s == s.link.silent || now.Sub(s.heard) >= challengeAfter
+	s.challenged = now.Sub(s.heard) >= challengeAfter
 	s.closeReplaced()
 }
 
@@ -158,6 +165,14 @@
 		}
 		s.take(ev)
 	}
+	if drainer, ok := s.conn.(Drainer); ok && errors.Is(err, os.ErrDeadlineExceeded) {
+		// Silent in the middle of a message: how it ends tells who comes up after it.
+		l.mu.Lock()
+		s.retire("connection to a switch is silent in a message")
+		if err = drainer.Drain(); err == nil {
+			err = io.EOF
+		}
+	}
 	s.conn.Close()
 	s.reset(l.ended(s, err))
 	l.wakeKeeper()
--- a/internal/trunk/trunk.go
+++ b/internal/trunk/trunk.go
@@ -34,6 +34,12 @@
 	CloseWrite() error
 }
 
+// Drainer is a Conn that can be read on after Read has failed, without sense to be made of
+// it, until it ends: with nil for a clean end.
+type Drainer interface {
+	Drain() error
+}
+
 // Pinger is a Conn that can ask for a sign of life. Without one, a switch is verified by
 // another connection to it.
 type Pinger interface {
