Give a silent set-up up where it was sent: the connection is kept open now

A connection that fell silent used to be closed, which gives up what is open on it; it is kept open now beside its successor, and its set-ups were released on the next connection only, which did not come up for seconds, while the calls were tried again elsewhere after their rest (trunk session.retire). Change: a silent session's set-ups are released on it as well, and any set-up on the session where it was sent. Stand-ins: a release whose connection is closed goes to another open one.

--- a/internal/trunk/link.go
+++ b/internal/trunk/link.go
@@ -633,26 +633,32 @@
 // of the call again.
 func (l *Link) Release(id uint64) { l.release(pendingRelease{id, time.Now()}) }
 
+// release sends a release, or keeps it. A set-up is given up where it was sent.
 func (l *Link) release(r pendingRelease) {
 	l.mu.Lock()
+	on := l.current
 	for s := range l.sessions {
-		s.answered(r.id)
+		if s.open[r.id] {
+			on = s
+		}
 	}
 	l.stands(r.id, false)
-	s := l.current
 	switch {
-	case s == nil:
+	case on == nil:
 		l.keepPending(r)
-	case len(s.unproven) < maxUnproven:
-		s.unproven = append(s.unproven, r)
+	case len(on.unproven) < maxUnproven:
+		on.unproven = append(on.unproven, r)
 	}
 	l.mu.Unlock()
-	if s == nil {
+	if on == nil {
 		return
 	}
-	if err := s.write(nil, func() error { return s.conn.Release(r.id) }); err != nil {
+	if err := on.write(nil, func() error { return on.conn.Release(r.id) }); err != nil {
 		l.log.Debug("release not sent", "call", callName(r.id), "error", err)
 	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	on.answered(r.id) // only now: a replaced session is closed with its last set-up
 }
 
 // keepPending keeps a release for the next connection. The lock is held.
--- a/internal/trunk/session.go
+++ b/internal/trunk/session.go
@@ -87,6 +87,11 @@
 	l.detector.Ignored()
 	now := time.Now()
 	l.carryOut(l.detector.Check(now), nil, now)
+	// Here too: a set-up is out until it is given up where it was sent, or the connection
+	// is closed, and this one stays open.
+	for _, id := range open {
+		_ = s.write(nil, func() error { return s.conn.Release(id) })
+	}
 	l.releaseAll(releases)
 	s.reset(open)
 	l.up.EvidenceMissing()
