--- a/internal/standin/switch.go
+++ b/internal/standin/switch.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -170,7 +171,17 @@
 }
 
 // ResetConns resets the open connections; the process goes on.
-func (s *Switch) ResetConns() { s.each(func(p *switchPort) { p.Reset() }) }
+func (s *Switch) ResetConns() {
+	s.each(func(p *switchPort) {
+		p.mu.Lock()
+		conns := slices.Clone(p.conns)
+		p.mu.Unlock()
+		p.Reset()
+		for _, c := range conns {
+			p.closed(c) // its reader may be about to write
+		}
+	})
+}
 
 // Abandon leaves the addresses of a vanished machine to another.
 func (s *Switch) Abandon() {
