--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -288,3 +288,14 @@
 		})
 	}
 }
+
+// untraced are seeds whose trials failed, once or more, for reasons that are not traced:
+// KNOWN-RED.txt lists the test.
+var untraced = []uint64{343}
+
+// Known red: see untraced.
+func TestSoakUntraced(t *testing.T) {
+	for _, seed := range untraced {
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) { play(t, seed) })
+	}
+}
