--- a/review/rig/drain_test.go
+++ b/review/rig/drain_test.go
@@ -42,8 +42,8 @@
 			m := members[0]
 			m.Phase = "draining"
 			r.logf("the command channel has the event that %s drains", m.ID)
-			drained <- time.Now()
 			ch.publish(m)
+			drained <- time.Now()
 			time.Sleep(endAt - drainAt)
 			cut := switches[0].stop()
 			m.Phase = "removed"
