platform: log how far a failed poll of the command channel had come

A poll that timed out left the same line whether the channel wasn't reached, hadn't answered or had answered in part, so a saved log couldn't tell a slow channel from an unreachable one.

The line has a key stage now: connecting, waiting (connected, no byte of the reply) or reading.

--- a/internal/platform/channel.go
+++ b/internal/platform/channel.go
@@ -8,9 +8,11 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"net/url"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	jsoniter "github.com/json-iterator/go"
@@ -56,6 +58,7 @@
 	cursor       int64         // number of the last event that was applied
 	replyTimeout time.Duration // of the next poll, beyond the requested wait
 	failedPolls  int           // consecutive polls that failed
+	stage        atomic.Int32  // the pollStage of the current or last poll
 
 	mu           sync.Mutex         // guards Addr, pendingMoves and cancelPoll
 	pendingMoves []*Events          // passed to Move and not applied yet
@@ -274,7 +277,7 @@
 func (c *CommandChannel) pollFailed(err error, addr string) {
 	c.failedPolls++
 	if c.failedPolls == 1 { // the metric counts the others
-		c.Log.Warn("command channel poll failed", "addr", addr, "error", err)
+		c.Log.Warn("command channel poll failed", "addr", addr, "stage", pollStage(c.stage.Load()).String(), "error", err)
 	}
 	var opErr *net.OpError
 	if errors.Is(err, context.DeadlineExceeded) && !(errors.As(err, &opErr) && opErr.Op == "dial") {
@@ -305,10 +308,34 @@
 	return metrics.PollFailed
 }
 
+// pollStage is how far a poll has come.
+type pollStage int32
+
+// The stages of a poll, in order. A poll that times out while waiting met a channel that is
+// slow or silent; one that times out while connecting didn't reach it.
+const (
+	connecting pollStage = iota
+	waiting              // connected; no byte of the reply has arrived
+	reading              // a part of the reply has arrived
+)
+
+// String returns the stage as it is logged.
+func (s pollStage) String() string { return [...]string{"connecting", "waiting", "reading"}[s] }
+
+// withStage returns a context in which an HTTP request records its stage.
+func withStage(ctx context.Context, stage *atomic.Int32) context.Context {
+	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn:              func(httptrace.GotConnInfo) { stage.Store(int32(waiting)) },
+		GotFirstResponseByte: func() { stage.Store(int32(reading)) },
+	})
+}
+
 // poll requests events once and applies those in the reply.
 func (c *CommandChannel) poll(ctx context.Context, client *http.Client) error {
 	addr, block, ctx, cancel := c.beginPoll(ctx)
 	defer cancel()
+	c.stage.Store(int32(connecting))
+	ctx = withStage(ctx, &c.stage)
 	query := url.Values{"resume": {strconv.FormatInt(c.cursor, 10)}, "block": {strconv.FormatInt(block.Milliseconds(), 10)}}
 	u := url.URL{Scheme: "http", Host: addr, Path: "/cmd/next", RawQuery: query.Encode()}
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, u.String(), nil)
