--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -76,6 +76,7 @@
 	CallerConnsClosed *prometheus.CounterVec // by reason
 	Releases          *prometheus.CounterVec // by result
 	Polls             *prometheus.CounterVec // by result
+	OverduePolls      prometheus.Counter     // polls without a timely reply
 }
 
 // New returns a Set with its own registry.
@@ -90,12 +91,17 @@
 	s.CallerConnsClosed = s.counterVec("violetspan_caller_connections_closed_total", "Connections from callers that ended.", "reason")
 	s.Releases = s.counterVec("violetspan_caller_releases_total", "Releases of calls that stood, towards callers.", "result")
 	s.Polls = s.counterVec("violetspan_discovery_polls_total", "Calls to discovery.", "result")
-	s.SetUpsHeldBack = prometheus.NewCounter(prometheus.CounterOpts{
-		Name: "violetspan_attempts_held_back_total", Help: "Set-ups that a rule kept from being sent."})
-	s.registry.MustRegister(s.SetUpsHeldBack)
+	s.SetUpsHeldBack = s.counter("violetspan_attempts_held_back_total", "Set-ups that a rule kept from being sent.")
+	s.OverduePolls = s.counter("violetspan_discovery_polls_overdue_total", "Calls to discovery without a reply in time.")
 	return s
 }
 
+func (s *Set) counter(name, help string) prometheus.Counter {
+	c := prometheus.NewCounter(prometheus.CounterOpts{Name: name, Help: help})
+	s.registry.MustRegister(c)
+	return c
+}
+
 func (s *Set) counterVec(name, help, label string) *prometheus.CounterVec {
 	v := prometheus.NewCounterVec(prometheus.CounterOpts{Name: name, Help: help}, []string{label})
 	s.registry.MustRegister(v)
--- a/internal/soak/incident_test.go
+++ b/internal/soak/incident_test.go
@@ -140,3 +140,34 @@
 		t.Errorf("%d attempts, want at least 100", counts["attempts"])
 	}
 }
+
+// Guards against set-ups to a draining switch while discovery is slow, as in review/3: its replies
+// arrive, but later than a poll used to wait. The proxies count as notified of the drain when a reply
+// with it is sent, and at the latest 6 s after discovery has it.
+func TestDrainIsNotifiedWhileDiscoveryIsSlow(t *testing.T) {
+	for name, timing := range map[string]standin.ReplyTiming{
+		"late":      {Delay: 2500 * time.Millisecond},
+		"very late": {Delay: 5 * time.Second},
+		"in pieces": {Pieces: 4, Interval: 700 * time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			config := steadyConfig(25)
+			config.HoldTimes = standin.HoldTimes{Min: 100 * time.Millisecond, Max: 200 * time.Millisecond}
+			tb := newTestbed(t, config)
+			tb.Discovery.SetReplyTiming(func(int) standin.ReplyTiming { return timing })
+			time.Sleep(time.Second)
+			tb.Discovery.Publish(standin.Member{Switch: tb.Switch(3), Phase: "draining"})
+			for _, c := range tb.Clients {
+				c.Start()
+			}
+			time.Sleep(7500 * time.Millisecond)
+			for _, c := range tb.Clients {
+				c.Stop()
+			}
+			if counts := checkViolations(t, tb); counts["attempts"] < 100 {
+				t.Errorf("%d attempts, want at least 100", counts["attempts"])
+			}
+		})
+	}
+}
--- a/internal/standin/discovery.go
+++ b/internal/standin/discovery.go
@@ -25,7 +25,21 @@
 	members        map[string]Member
 	streams        map[string]*stream
 	reachableSince time.Time // since when discovery has been reachable; zero: it is unreachable
-	replyDelay     time.Duration
+	requests       int       // polls so far
+	replyTiming    func(request int) ReplyTiming
+}
+
+// ReplyTiming is how a reply is delayed once it is formed.
+type ReplyTiming struct {
+	Never    bool          // the reply isn't sent, and the connection stays open
+	Delay    time.Duration // until the first piece is sent
+	Pieces   int           // in how many pieces the body is sent; 0: in one
+	Interval time.Duration // between two pieces
+}
+
+// duration returns the time from the forming of the reply until all of it is sent.
+func (t ReplyTiming) duration() time.Duration {
+	return t.Delay + time.Duration(max(0, t.Pieces-1))*t.Interval
 }
 
 // Member is an entry in discovery's list of switches.
@@ -54,7 +68,8 @@
 
 // NewDiscovery returns a Discovery with an empty list of switches.
 func NewDiscovery(ledger *Ledger) *Discovery {
-	return &Discovery{Ledger: ledger, members: map[string]Member{}, streams: map[string]*stream{}, reachableSince: time.Now()}
+	return &Discovery{Ledger: ledger, members: map[string]Member{}, streams: map[string]*stream{}, reachableSince: time.Now(),
+		replyTiming: func(int) ReplyTiming { return ReplyTiming{} }}
 }
 
 // Listen opens the port for a proxy. If the proxy had one, its events move to the new address
@@ -63,7 +78,7 @@
 	s := &stream{proxy: proxy, updated: make(chan struct{})}
 	listener := newPortListener()
 	s.port = NewPort(addr, listener.serve)
-	s.server = &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { d.serve(proxy, w, r) })}
+	s.server = &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { d.serve(s, w, r) })}
 	go func() { _ = s.server.Serve(listener) }()
 	d.mu.Lock()
 	old := d.streams[proxy]
@@ -164,20 +179,24 @@
 }
 
 // serve answers GET /cmd/next: with the events after resume, as soon as there are any, or with
-// none after block milliseconds.
-func (d *Discovery) serve(proxy string, w http.ResponseWriter, r *http.Request) {
+// none after block milliseconds. It sends nothing once the stream has moved to another port.
+func (d *Discovery) serve(s *stream, w http.ResponseWriter, r *http.Request) {
 	resume, resumeErr := strconv.Atoi(r.FormValue("resume"))
 	block, blockErr := strconv.Atoi(r.FormValue("block"))
 	if err := errors.Join(resumeErr, blockErr); err != nil || r.URL.Path != "/cmd/next" {
 		http.Error(w, "bad request", http.StatusBadRequest)
 		return
 	}
+	d.mu.Lock()
+	d.requests++
+	request := d.requests
+	d.mu.Unlock()
 	wait := time.NewTimer(time.Duration(block) * time.Millisecond)
 	defer wait.Stop()
 	for timedOut := false; ; {
 		d.mu.Lock()
-		s, replyDelay := d.streams[proxy], d.replyDelay
-		if len(s.events) > resume || timedOut {
+		timing := d.replyTiming(request)
+		if !timing.Never && (len(s.events) > resume || timedOut) && d.streams[s.proxy] == s {
 			if s.port.isSilent() {
 				d.mu.Unlock()
 				s.port.waitWhileSilent()
@@ -187,16 +206,9 @@
 				}
 				continue
 			}
-			reply := s.eventsAfter(resume)
-			for i := resume; i < len(s.events); i++ {
-				s.events[i].delivered = true
-				for _, id := range s.events[i].switches {
-					d.Ledger.DrainNotified(proxy, id, time.Now().Add(replyDelay))
-				}
-			}
+			reply := d.formReply(s, resume, timing)
 			d.mu.Unlock()
-			time.Sleep(replyDelay)
-			fmt.Fprint(w, reply)
+			d.send(s, w, r, reply, timing)
 			return
 		}
 		updated := s.updated
@@ -211,11 +223,56 @@
 	}
 }
 
-// SetReplyDelay delays every reply by the given time.
+// formReply returns the reply with the events after resume, and records when they count as
+// delivered. The lock is held.
+func (d *Discovery) formReply(s *stream, resume int, timing ReplyTiming) string {
+	for i := resume; i < len(s.events); i++ {
+		s.events[i].delivered = true
+		for _, id := range s.events[i].switches {
+			d.Ledger.DrainNotified(s.proxy, id, time.Now().Add(timing.duration()))
+		}
+	}
+	return s.eventsAfter(resume)
+}
+
+// send sends a formed reply. The connection ends without it if the stream moves to another port
+// meanwhile.
+func (d *Discovery) send(s *stream, w http.ResponseWriter, r *http.Request, reply string, timing ReplyTiming) {
+	time.Sleep(timing.Delay)
+	pieces := max(1, timing.Pieces)
+	for i := range pieces {
+		if i > 0 {
+			time.Sleep(timing.Interval)
+		}
+		if d.hasMoved(s) {
+			<-r.Context().Done()
+			return
+		}
+		fmt.Fprint(w, reply[len(reply)*i/pieces:len(reply)*(i+1)/pieces])
+		if flusher, ok := w.(http.Flusher); ok && pieces > 1 {
+			flusher.Flush()
+		}
+	}
+}
+
+// hasMoved reports whether a stream has moved to another port.
+func (d *Discovery) hasMoved(s *stream) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.streams[s.proxy] != s
+}
+
+// SetReplyDelay delays every reply that is formed from now on by the given time.
 func (d *Discovery) SetReplyDelay(delay time.Duration) {
+	d.SetReplyTiming(func(int) ReplyTiming { return ReplyTiming{Delay: delay} })
+}
+
+// SetReplyTiming sets how the replies that are formed from now on are delayed, by the number of
+// their request, which starts at 1. The function must not block or call d.
+func (d *Discovery) SetReplyTiming(timing func(request int) ReplyTiming) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.replyDelay = delay
+	d.replyTiming = timing
 }
 
 // TakeDown stops listening and resets the open connections.
