platform: keep the polls of the command channel on a reload that doesn't move it

What callers would see: set-ups to a draining switch while configurations are reloaded one after the other and discovery is slow, although it answers each poll.

Cause: Move cancelled the polls on every SIGHUP, also when the configuration names the address that they went to. The reason given for it, that the old address tells nothing more, holds only if the address changes.

Change: only a changed address cancels the polls. The events of the configuration are applied as before.

--- a/internal/platform/channel.go
+++ b/internal/platform/channel.go
@@ -49,7 +49,7 @@
 
 	mu           sync.Mutex    // guards Addr, pendingMoves and moved
 	pendingMoves []*Events     // passed to Move and not applied yet
-	moved        bool          // Move was called since the last poll began
+	moved        bool          // Addr has changed since the last poll began
 	wake         chan struct{} // receives a value after Move
 }
 
@@ -76,14 +76,14 @@
 
 // Move continues at another address, where the event numbers continue; events are
 // those supplied with the address. It cancels the outstanding polls: the old address sends
-// nothing more.
+// nothing more. If addr is the present address, Move only applies the events.
 func (c *CommandChannel) Move(addr string, events *Events) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if addr != c.Addr {
 		c.Log.Info("command channel moved", "addr", addr)
+		c.Addr, c.moved = addr, true
 	}
-	c.Addr, c.moved = addr, true
 	if len(c.pendingMoves) < maxPendingMoves {
 		c.pendingMoves = append(c.pendingMoves, events)
 	}
--- a/internal/platform/channel_test.go
+++ b/internal/platform/channel_test.go
@@ -180,6 +180,8 @@
 		"late or never":            {timing: silentOnce, limit: limit},
 		"in pieces":                {timing: inPieces(0, 4, 700*time.Millisecond), limit: limit},
 		"late and in pieces":       {timing: inPieces(time.Second, 5, 600*time.Millisecond), limit: limit},
+		"late, frequent reloads":   {timing: late(2500 * time.Millisecond), beside: reloadOften, limit: limit},
+		"a little late, reloads":   {timing: late(700 * time.Millisecond), beside: reloadOften, limit: limit},
 		"late, moves":              {timing: late(2500 * time.Millisecond), beside: moveThrice, limit: 2*time.Second + notifiedAfterReload + drainGrace},
 		"in pieces, with moves":    {timing: inPieces(0, 4, 700*time.Millisecond), beside: moveThrice, limit: 2*time.Second + notifiedAfterReload + drainGrace},
 		"silent on one connection": {timing: silentTwiceAtStart, limit: limit},
@@ -204,6 +206,21 @@
 	return standin.ReplyTiming{Never: request <= 2}
 }
 
+// reloadOften reloads a configuration that names the present address.
+func reloadOften(f *channelFixture, stop <-chan struct{}) {
+	_, addr := f.discovery.AllEvents(fixtureProxy)
+	ticker := time.NewTicker(400 * time.Millisecond)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			f.channel.Move(addr, &Events{})
+		case <-stop:
+			return
+		}
+	}
+}
+
 // moveThrice moves discovery to other addresses in quick succession, for the last time 2 s after
 // its start.
 func moveThrice(f *channelFixture, stop <-chan struct{}) {
