platform: await dials to the command channel that come up after a second

What callers would see: set-ups to a draining switch while discovery's machine drops the first packets of new connections, as a crowded one does.

Cause: a dial was cancelled after 1 s and begun anew. The kernel repeats a dropped first packet after 1 s, 3 s and 7 s, so a dial that loses only that packet needs more than the second it had. The limit was there because a dial outlives its poll and kept later polls waiting; polls overlap now, and none waits for another's dial.

Change: a dial has 7.5 s, which takes in the kernel's three repeats.

Measured: TestSlowDialsToTheChannelAreAwaited (dials of 3 s) fails on the commit before this one (no drain reported in 6.5 s) and passes now, also with the race detector; TestChannelIsPolledSoonAfterAnOutage, whose dials never come up for 3 s, passes as before.

--- a/internal/platform/channel_test.go
+++ b/internal/platform/channel_test.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"maps"
 	"math/rand/v2"
+	"net"
 	"slices"
 	"testing"
 	"time"
@@ -253,3 +254,21 @@
 		})
 	}
 }
+
+// Guards against dials that are given up and repeated although the channel is about to accept
+// them: one whose first packets are dropped comes up with a retry of the kernel, after 1 s or 3 s.
+func TestSlowDialsToTheChannelAreAwaited(t *testing.T) {
+	t.Parallel()
+	f := newChannelFixture(t)
+	f.channel.dial = func(ctx context.Context, network, addr string) (net.Conn, error) {
+		select {
+		case <-time.After(3 * time.Second):
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+		var dialer net.Dialer
+		return dialer.DialContext(ctx, network, addr)
+	}
+	f.follow()
+	f.drain(notifiedLimit + drainGrace)
+}
--- a/internal/platform/poll.go
+++ b/internal/platform/poll.go
@@ -18,7 +18,9 @@
 )
 
 const (
-	channelDialTimeout = time.Second
+	// channelDialTimeout bounds the dials that outlive their poll. The kernel repeats a dial
+	// whose packets are dropped after 1 s, 3 s and 7 s.
+	channelDialTimeout = 7500 * time.Millisecond
 	maxReplySize       = 4 << 20 // bytes
 )
 
