--- a/internal/trunk/link.go
+++ b/internal/trunk/link.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"log/slog"
 	"maps"
-	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -28,8 +27,7 @@
 	renewalDelay = 300 * time.Millisecond
 	// formerCallsPeriod is how long after the link's creation the switch is assumed to have calls
 	// from before a restart of this proxy, although none is known.
-	formerCallsPeriod  = 30 * time.Second
-	maxPendingReleases = 1024 // kept for a switch without a connection
+	formerCallsPeriod = 30 * time.Second
 	// An abandoned dial is cancelled only after this many times its timeout: a connection that
 	// comes up late and is closed at once may lose a release that the switch sent on it.
 	lateDialFactor = 3
@@ -50,15 +48,6 @@
 	SwitchSilent()
 }
 
-// pendingRelease is a release that the switch may not have received.
-type pendingRelease struct {
-	id      uint64
-	endedAt time.Time // when the call or set-up ended
-}
-
-// maxPromptDelay is how soon after a call's end its release must be sent to count as prompt.
-const maxPromptDelay = 50 * time.Millisecond
-
 // Link keeps one connection to one switch open, also when there is nothing to send, because
 // group states and releases arrive on it. It implements core.Link.
 type Link struct {
@@ -276,39 +265,6 @@
 	return s, nil
 }
 
-// flushReleases writes the pending releases to a new connection, before any set-up is sent on
-// it, which may be of the same call. It also writes those that a silent current connection
-// may have lost.
-func (l *Link) flushReleases(conn Conn) error {
-	l.mu.Lock()
-	pending := l.pending
-	l.pending = nil
-	if l.current != nil {
-		pending = append(pending, l.current.unconfirmed...)
-		l.current.unconfirmed = nil
-	}
-	now := time.Now()
-	maps.DeleteFunc(l.lateReleases, func(_ uint64, at time.Time) bool { return now.Sub(at) >= l.timeouts.ReleaseBackoff })
-	for _, r := range pending {
-		if now.Sub(r.endedAt) > maxPromptDelay && len(l.lateReleases) < maxPendingReleases {
-			l.lateReleases[r.id] = now
-		}
-	}
-	l.mu.Unlock()
-	for i, r := range pending {
-		if err := conn.Release(r.id); err != nil {
-			conn.Close()
-			l.mu.Lock()
-			defer l.mu.Unlock()
-			for _, r := range pending[i:] {
-				l.addPending(r)
-			}
-			return fmt.Errorf("connection broke while pending releases were sent: %w", err)
-		}
-	}
-	return nil
-}
-
 // recordDial records the result of a dial, as evidence for or against the switch being alive.
 func (l *Link) recordDial(err error) {
 	if l.ctx.Err() != nil {
@@ -569,13 +525,6 @@
 	return outstanding, releases
 }
 
-// releaseAll sends releases on the current session, or first on the next one.
-func (l *Link) releaseAll(releases []pendingRelease) {
-	for _, r := range releases {
-		l.release(r)
-	}
-}
-
 // SetUp implements core.Link. It dials if there is no connection.
 func (l *Link) SetUp(ctx context.Context, setUp *core.SetUp, deadline time.Time, maySend func() bool) error {
 	if _, err := l.connect(ctx); err != nil {
@@ -610,74 +559,6 @@
 	return err
 }
 
-// inReleaseBackoff reports whether a call's earlier attempt at the switch may have lasted
-// until less than Timeouts.ReleaseBackoff ago: its release is not sent yet, may be lost, or
-// was sent late. A release that is not sent or may be lost is dropped here, because sent
-// later it would end the new attempt. The lock is held.
-func (l *Link) inReleaseBackoff(current *session, id uint64) bool {
-	drop := func(releases []pendingRelease) []pendingRelease {
-		return slices.DeleteFunc(releases, func(r pendingRelease) bool { return r.id == id })
-	}
-	count := len(l.pending)
-	l.pending = drop(l.pending)
-	lost := len(l.pending) < count
-	for s := range l.sessions {
-		count := len(s.unconfirmed)
-		s.unconfirmed = drop(s.unconfirmed)
-		lost = lost || s != current && len(s.unconfirmed) < count
-	}
-	now := time.Now()
-	if lost {
-		l.lateReleases[id] = now
-	}
-	at, late := l.lateReleases[id]
-	return late && now.Sub(at) < l.timeouts.ReleaseBackoff
-}
-
-// CancelSetUp notifies the switch that a set-up is abandoned.
-func (l *Link) CancelSetUp(id uint64) { l.Release(id) }
-
-// Release notifies the switch that a call has ended. Without a connection the release is sent
-// first on the next one. If maxPendingReleases are already waiting, it is dropped, and the
-// switch is notified when it next sends a message about the call.
-func (l *Link) Release(id uint64) { l.release(pendingRelease{id, time.Now()}) }
-
-// release sends a release or keeps it as pending. The release of an outstanding set-up goes
-// to the session on which the set-up was sent.
-func (l *Link) release(r pendingRelease) {
-	l.mu.Lock()
-	target := l.current
-	for s := range l.sessions {
-		if s.outstanding[r.id] {
-			target = s
-		}
-	}
-	l.setEstablished(r.id, false)
-	switch {
-	case target == nil:
-		l.addPending(r)
-	case len(target.unconfirmed) < maxUnconfirmed:
-		target.unconfirmed = append(target.unconfirmed, r)
-	}
-	l.mu.Unlock()
-	if target == nil {
-		return
-	}
-	if err := target.write(nil, func() error { return target.conn.Release(r.id) }); err != nil {
-		l.log.Debug("release not sent", "call", formatCallID(r.id), "error", err)
-	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	target.setUpDone(r.id) // after the write: a replaced session is closed with its last set-up
-}
-
-// addPending keeps a release for the next connection. The lock is held.
-func (l *Link) addPending(r pendingRelease) {
-	if len(l.pending) < maxPendingReleases {
-		l.pending = append(l.pending, r)
-	}
-}
-
 // ProbeEarlyUntil makes the link probe a silent switch sooner until the given time.
 func (l *Link) ProbeEarlyUntil(until time.Time) {
 	l.mu.Lock()
