trunk: don't set a call up again where its earlier release may arrive late

Cause: all attempts of a call have its id. When a connection fell silent, the release of a set-up on it was written there and on its successor, and 0.5 s later the call was set up again at the same switch. The release on the silent connection arrived when the silence ended and cut the second attempt. inReleaseBackoff looked at releases that are unsent, perhaps lost or sent late, but not at those that arrive late: detach had passed them to the next connection, and nothing was remembered of the first.

Change: a link remembers the calls of what was written on a connection that fell silent, was replaced with releases unconfirmed, or was closed on this side. It sets none of them up again; the attempt is reported as not sent, and the call is refused. Nothing else is safe: the id can't change, a reset of the connection doesn't call back what has left, and the silence may outlast the caller's wait.

The stand-in's connections can now be silent one by one (HangConns), which it needs to show this.

--- a/internal/soak/incident_test.go
+++ b/internal/soak/incident_test.go
@@ -171,3 +171,33 @@
 		})
 	}
 }
+
+// Guards against a late release of the proxy's own that cuts an established call, as in review/1: a
+// connection to a switch is silent for a while, and new ones come up. A set-up on the silent one is
+// released and tried again on another; the release must not arrive after the new attempt was answered.
+func TestLateReleasesCutNoEstablishedCalls(t *testing.T) {
+	for name, silence := range map[string]time.Duration{"3 s": 3 * time.Second, "6 s": 6 * time.Second} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			tb := newTestbed(t, steadyConfig(15))
+			for _, c := range tb.Clients {
+				c.Start()
+			}
+			time.Sleep(time.Second)
+			tb.Switch(3).HangConns()
+			time.Sleep(silence)
+			tb.Switch(3).ResumeConns()
+			time.Sleep(time.Second)
+			for _, c := range tb.Clients {
+				c.Stop()
+			}
+			time.Sleep(endNotifyWait)
+			if counts := checkViolations(t, tb); counts["established"] < 100 {
+				t.Errorf("%d calls established, want at least 100", counts["established"])
+			}
+			if n := tb.Ledger.UnnotifiedEnds(); n > 0 {
+				t.Errorf("%d calls ended without a notification of their callers", n)
+			}
+		})
+	}
+}
--- a/internal/standin/network.go
+++ b/internal/standin/network.go
@@ -267,6 +267,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.closed = true
+	p.resumeConns()
 	for c := range p.conns {
 		c.TCPConn.Close()
 	}
@@ -277,25 +278,86 @@
 	}
 }
 
-// PortConn is a connection to a Port. Reads and writes block while the port is silent.
+// HangConns makes the connections that are open now silent, as a fault on one path of the network
+// does. New connections are served.
+func (p *Port) HangConns() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for c := range p.conns {
+		if c.hung == nil {
+			c.hung = make(chan struct{})
+		}
+	}
+}
+
+// ResumeConns ends the effect of HangConns: what was written meanwhile arrives.
+func (p *Port) ResumeConns() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.resumeConns()
+}
+
+// resumeConns is ResumeConns with p.mu held.
+func (p *Port) resumeConns() {
+	for c := range p.conns {
+		if c.hung != nil {
+			close(c.hung)
+			c.hung, c.resumedAt = nil, time.Now()
+		}
+	}
+}
+
+// PortConn is a connection to a Port. Reads and writes block while the port or the connection is
+// silent.
 type PortConn struct {
 	*net.TCPConn
 	port       *Port
-	writeMu    sync.Mutex  // serializes writes
-	messageMu  sync.Mutex  // serializes messages, which may take several writes
-	stale      bool        // the data of the last Read was written during a silence; used by the reader only
-	firstStale bool        // the data of the first Read counts as stale
-	peerClosed atomic.Bool // a Read has failed: the peer has closed the connection
+	hung       chan struct{} // guarded by port.mu; closed when the silence of HangConns ends; nil: none
+	resumedAt  time.Time     // guarded by port.mu; when that silence ended
+	writeMu    sync.Mutex    // serializes writes
+	messageMu  sync.Mutex    // serializes messages, which may take several writes
+	stale      bool          // the data of the last Read was written during a silence; used by the reader only
+	firstStale bool          // the data of the first Read counts as stale
+	peerClosed atomic.Bool   // a Read has failed: the peer has closed the connection
 }
 
-// Read reads, but returns only while the port is not silent.
-func (c *PortConn) Read(b []byte) (int, error) {
-	before := c.port.isSilent()
+// isSilent reports whether the port or the connection is silent.
+func (c *PortConn) isSilent() bool {
+	if c.port.isSilent() {
+		return true
+	}
+	c.port.mu.Lock()
+	defer c.port.mu.Unlock()
+	return c.hung != nil
+}
+
+// waitWhileSilent blocks while the port or the connection is silent.
+func (c *PortConn) waitWhileSilent() {
 	c.port.waitWhileSilent()
+	c.port.mu.Lock()
+	hung := c.hung
+	c.port.mu.Unlock()
+	if hung != nil {
+		<-hung
+	}
+}
+
+// recentlyResumed reports whether what is read now may have been written during the silence of
+// HangConns.
+func (c *PortConn) recentlyResumed() bool {
+	c.port.mu.Lock()
+	defer c.port.mu.Unlock()
+	return time.Since(c.resumedAt) < staleWindow
+}
+
+// Read reads, but returns only while neither the port nor the connection is silent.
+func (c *PortConn) Read(b []byte) (int, error) {
+	before := c.isSilent()
+	c.waitWhileSilent()
 	n, err := c.TCPConn.Read(b)
-	after := c.port.isSilent()
-	c.port.waitWhileSilent()
-	c.stale = before || after || c.firstStale
+	after := c.isSilent()
+	c.waitWhileSilent()
+	c.stale = before || after || c.firstStale || c.recentlyResumed()
 	c.firstStale = false
 	if err != nil {
 		c.peerClosed.Store(true)
@@ -308,11 +370,11 @@
 	return n, err
 }
 
-// Write blocks while the port is silent, then writes.
+// Write blocks while the port or the connection is silent, then writes.
 func (c *PortConn) Write(b []byte) (int, error) {
 	c.writeMu.Lock()
 	defer c.writeMu.Unlock()
-	c.port.waitWhileSilent()
+	c.waitWhileSilent()
 	if c.port.isReassigned() {
 		return 0, net.ErrClosed
 	}
--- a/internal/standin/switch.go
+++ b/internal/standin/switch.go
@@ -145,6 +145,12 @@
 // Hang suspends the process until Restore.
 func (s *Switch) Hang() { s.forEachPort(func(p *switchPort) { p.Hang() }) }
 
+// HangConns makes the open connections silent; new ones are served.
+func (s *Switch) HangConns() { s.forEachPort(func(p *switchPort) { p.HangConns() }) }
+
+// ResumeConns ends the effect of HangConns.
+func (s *Switch) ResumeConns() { s.forEachPort(func(p *switchPort) { p.ResumeConns() }) }
+
 // Kill ends the process: its calls end, connections are reset and new ones refused.
 func (s *Switch) Kill() {
 	s.forEachPort(func(p *switchPort) {
--- a/internal/trunk/link.go
+++ b/internal/trunk/link.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"log/slog"
 	"maps"
+	"net"
 	"sync"
 	"syscall"
 	"time"
@@ -72,6 +73,10 @@
 	// back for Timeouts.ReleaseBackoff from then on, as the switch may have held the calls
 	// until then. At most maxPendingReleases.
 	lateReleases map[uint64]time.Time
+	// undelivered holds calls of which a set-up or a release may still arrive at the switch on a
+	// connection that fell silent, and when that was noticed. As all attempts of a call have the
+	// same id, a late release would end a later attempt, so none is sent. At most maxUndelivered.
+	undelivered map[uint64]time.Time
 	// silentSession is kept open although it fell silent: if it is reset once another connection
 	// comes up, that connection has reached another peer.
 	silentSession *session
@@ -93,7 +98,7 @@
 // New creates a link and starts to connect.
 func New(ctx context.Context, peer core.Switch, handler Handler, timeouts Timeouts, log *slog.Logger, metricSet *metrics.Set, dial Dial) *Link {
 	l := &Link{peer: peer, handler: handler, log: log.With("switch", peer.ID, "addr", peer.Addr), metrics: metricSet, dial: dial, timeouts: timeouts,
-		dialing: make(chan struct{}, 1), wake: make(chan struct{}, 1), sessions: map[*session]bool{}, lateReleases: map[uint64]time.Time{}, established: map[uint64]time.Time{},
+		dialing: make(chan struct{}, 1), wake: make(chan struct{}, 1), sessions: map[*session]bool{}, lateReleases: map[uint64]time.Time{}, undelivered: map[uint64]time.Time{}, established: map[uint64]time.Time{},
 		detector: liveness.New(liveness.Defaults, time.Now())}
 	l.created = time.Now()
 	l.checkTimer = time.AfterFunc(time.Hour, l.check)
@@ -465,6 +470,9 @@
 		l.silentSession = nil
 	}
 	outstanding, releases := l.detach(s)
+	if s.closeReason == metrics.CloseSilent || errors.Is(err, net.ErrClosed) {
+		l.recordUndelivered(releases) // what was written may still be on its way
+	}
 	if !s.replaced {
 		l.scheduleRenewal()
 	}
@@ -525,29 +533,24 @@
 	return outstanding, releases
 }
 
+var (
+	errReleaseBackoff = fmt.Errorf("%w: the release of the call's previous attempt at this switch is too recent", core.ErrNotSent)
+	errUndelivered    = fmt.Errorf("%w: a release of the call's previous attempt may still arrive at this switch", core.ErrNotSent)
+)
+
 // SetUp implements core.Link. It dials if there is no connection.
 func (l *Link) SetUp(ctx context.Context, setUp *core.SetUp, deadline time.Time, maySend func() bool) error {
 	if _, err := l.connect(ctx); err != nil {
 		return fmt.Errorf("%w: %w", core.ErrNotReached, err)
 	}
-	l.mu.Lock()
-	current := l.current
-	if current != nil {
-		current.outstanding[setUp.ID] = true // before the write: the answer may arrive at once
-	}
-	backoff := current != nil && l.inReleaseBackoff(current, setUp.ID)
-	if backoff {
-		delete(current.outstanding, setUp.ID)
-	}
-	l.mu.Unlock()
-	switch {
-	case current == nil:
-		return core.ErrNotReached // the session has just ended
-	case backoff:
+	current, err := l.reserve(setUp.ID)
+	if errors.Is(err, errReleaseBackoff) {
 		l.Release(setUp.ID) // again, as the earlier release may be lost
-		return fmt.Errorf("%w: the release of the call's previous attempt at this switch is too recent", core.ErrNotSent)
 	}
-	err := current.write(maySend, func() error { return current.conn.SetUp(setUp, deadline) })
+	if err != nil {
+		return err
+	}
+	err = current.write(maySend, func() error { return current.conn.SetUp(setUp, deadline) })
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	switch {
@@ -559,6 +562,24 @@
 	return err
 }
 
+// reserve returns the session on which a set-up may be sent, and records the set-up as
+// outstanding there before it is written, as the answer may arrive at once.
+func (l *Link) reserve(id uint64) (*session, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.current == nil {
+		return nil, core.ErrNotReached // the session has just ended
+	}
+	if _, undelivered := l.undelivered[id]; undelivered {
+		return nil, errUndelivered
+	}
+	if l.inReleaseBackoff(l.current, id) {
+		return nil, errReleaseBackoff
+	}
+	l.current.outstanding[id] = true
+	return l.current, nil
+}
+
 // ProbeEarlyUntil makes the link probe a silent switch sooner until the given time.
 func (l *Link) ProbeEarlyUntil(until time.Time) {
 	l.mu.Lock()
--- a/internal/trunk/releases.go
+++ b/internal/trunk/releases.go
@@ -16,7 +16,12 @@
 // maxPromptDelay is how soon after a call's end its release must be sent to count as prompt.
 const maxPromptDelay = 50 * time.Millisecond
 
-const maxPendingReleases = 1024 // kept for a switch without a connection
+const (
+	maxPendingReleases = 1024 // kept for a switch without a connection
+	maxUndelivered     = 4096
+	// undeliveredRetention is how long Link.undelivered keeps a call: longer than callers wait.
+	undeliveredRetention = 2 * time.Minute
+)
 
 // flushReleases writes the pending releases to a new connection, before any set-up is sent on
 // it, which may be of the same call. It also writes those that a silent current connection
@@ -26,6 +31,7 @@
 	pending := l.pending
 	l.pending = nil
 	if l.current != nil {
+		l.recordUndelivered(l.current.unconfirmed)
 		pending = append(pending, l.current.unconfirmed...)
 		l.current.unconfirmed = nil
 	}
@@ -51,6 +57,18 @@
 	return nil
 }
 
+// recordUndelivered records the calls of messages that were written on a connection which is no
+// longer used, and which the switch may read later. The lock is held.
+func (l *Link) recordUndelivered(messages []pendingRelease) {
+	now := time.Now()
+	maps.DeleteFunc(l.undelivered, func(_ uint64, at time.Time) bool { return now.Sub(at) >= undeliveredRetention })
+	for _, m := range messages {
+		if len(l.undelivered) < maxUndelivered {
+			l.undelivered[m.id] = now
+		}
+	}
+}
+
 // releaseAll sends releases on the current session, or first on the next one.
 func (l *Link) releaseAll(releases []pendingRelease) {
 	for _, r := range releases {
--- a/internal/trunk/session.go
+++ b/internal/trunk/session.go
@@ -77,6 +77,7 @@
 	link := s.link
 	link.log.Warn(message, "open", len(s.outstanding), "standing", len(link.established))
 	outstanding, releases := link.detach(s)
+	link.recordUndelivered(releases)
 	superseded := s
 	if !s.replaced {
 		superseded, link.silentSession = link.silentSession, s
--- a/internal/trunk/trunk_test.go
+++ b/internal/trunk/trunk_test.go
@@ -124,3 +124,33 @@
 	case <-time.After(100 * time.Millisecond):
 	}
 }
+
+// Guards against a late release of the proxy's own that cuts an established call: what was written on
+// a connection that fell silent may arrive later, and all attempts of a call have its id.
+func TestCallIsNotSetUpAgainWhileItsReleaseMayArriveLate(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	written := make(chan string, 16) // on any connection
+	l := New(ctx, core.Switch{ID: "s1", Addr: "addr"}, discardHandler{}, Timeouts{Dial: time.Minute, Silence: 30 * time.Millisecond}, slog.New(slog.DiscardHandler), metrics.New(),
+		func(ctx context.Context, _ string) (Conn, error) {
+			return &recordingConn{written: written, closed: make(chan struct{})}, nil
+		})
+	defer l.Close()
+	setUp := func(id uint64) error { return l.SetUp(ctx, &core.SetUp{ID: id}, time.Now(), nil) }
+	if err := setUp(0xc3); err != nil {
+		t.Fatal(err)
+	}
+	got := []string{<-written, <-written, <-written} // the release on the silent connection and on its successor
+	if diff := cmp.Diff([]string{"set up 00000000000000c3", "release 00000000000000c3", "release 00000000000000c3"}, got); diff != "" {
+		t.Fatalf("written (-want +got):\n%s", diff)
+	}
+	if err := setUp(0xc3); !errors.Is(err, core.ErrNotSent) {
+		t.Errorf("the call was set up again: %v", err)
+	}
+	if err := setUp(0xd4); err != nil {
+		t.Errorf("another call was not set up: %v", err)
+	}
+	if got, want := <-written, "set up 00000000000000d4"; got != want {
+		t.Errorf("written: %q, want %q", got, want)
+	}
+}
