standin: Mesh repeats a release on the next connection, as switches do

The stand-in sent the release on the old connection only.

Change: Mesh sends a release on the newest connection if the proxy has closed the call's own, and repeats it on the next one that is opened. No limit of the test changes.

--- a/internal/standin/mesh.go
+++ b/internal/standin/mesh.go
@@ -29,6 +29,7 @@
 	totalCircuits map[[2]int]int
 	legs          map[legKey]*leg
 	switchConns   map[[2]int][]*queuedConn // by exchange and switch: the connections of the exchange's proxy to the switch
+	repeated      map[[2]int][]sig.Message // by exchange and switch: releases to send on the next connection too
 	callerConns   []*queuedConn            // by exchange: the callers' connection to the proxy
 	calls         map[uint64]*call
 	lastCallID    uint64
@@ -44,7 +45,7 @@
 // NewMesh returns stand-ins for a config; its NewPolicy, Faults and delays are not used.
 func NewMesh(cfg mesh.Config) *Mesh {
 	r := &Mesh{cfg: cfg, freeCircuits: map[[2]int]int{}, totalCircuits: map[[2]int]int{}, legs: map[legKey]*leg{}, switchConns: map[[2]int][]*queuedConn{},
-		calls: map[uint64]*call{}, counts: map[string]int{}, callerConns: make([]*queuedConn, cfg.Exchanges)}
+		repeated: map[[2]int][]sig.Message{}, calls: map[uint64]*call{}, counts: map[string]int{}, callerConns: make([]*queuedConn, cfg.Exchanges)}
 	for _, g := range cfg.Groups {
 		r.freeCircuits[groupKey(g.A, g.B)], r.totalCircuits[groupKey(g.A, g.B)] = g.Circuits, g.Circuits
 	}
@@ -66,11 +67,7 @@
 	var addrs []string
 	for to := range r.cfg.Exchanges {
 		ln, err := Serve(func(c net.Conn) {
-			r.mu.Lock()
-			conn := r.newQueuedConn(c)
-			r.switchConns[[2]int{exchange, to}] = append(r.switchConns[[2]int{exchange, to}], conn)
-			r.reportCircuits([2]int{exchange, to})
-			r.mu.Unlock()
+			conn := r.addSwitchConn([2]int{exchange, to}, c)
 			r.readMessages(conn, func(m sig.Message) {
 				switch m.Type {
 				case sig.SetUp:
@@ -93,6 +90,21 @@
 	return addrs, nil
 }
 
+// addSwitchConn registers a proxy's connection to a switch, given the exchange and the switch. It
+// repeats the releases that were sent since the last one was opened.
+func (r *Mesh) addSwitchConn(end [2]int, c net.Conn) *queuedConn {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	conn := r.newQueuedConn(c)
+	r.switchConns[end] = append(r.switchConns[end], conn)
+	r.reportCircuits(end)
+	for _, m := range r.repeated[end] {
+		conn.send(m)
+	}
+	delete(r.repeated, end)
+	return conn
+}
+
 // ConnectCallers connects the callers of an exchange to its proxy, whose address is given.
 func (r *Mesh) ConnectCallers(exchange int, proxy string) error {
 	c, err := net.Dial("tcp", proxy)
@@ -189,9 +201,10 @@
 // queuedConn is a connection with a queue of outgoing messages, which keeps their order.
 type queuedConn struct {
 	net.Conn
-	outgoing  chan sig.Message
-	closed    chan struct{}
-	closeOnce sync.Once
+	outgoing   chan sig.Message
+	closed     chan struct{}
+	closeOnce  sync.Once
+	peerClosed bool // guarded by Mesh.mu; nothing more arrives from the proxy
 }
 
 const sendQueueSize = 1 << 14
@@ -339,7 +352,19 @@
 	if cause == sig.CauseNoCircuit {
 		m.Params = append(m.Params, sig.Param{Code: sig.ParamCauseDetail, Value: []byte("sent_back")})
 	}
-	l.conn.send(m)
+	r.sendRelease(l, m)
+}
+
+// sendRelease sends the release of a leg on its connection, or on the newest one if the proxy has
+// closed that, and also on the next one that is opened.
+func (r *Mesh) sendRelease(l *leg, m sig.Message) {
+	end := [2]int{l.from, l.to}
+	conn := l.conn
+	if conns := r.switchConns[end]; conn.peerClosed {
+		conn = conns[len(conns)-1]
+	}
+	conn.send(m)
+	r.repeated[end] = append(r.repeated[end], m)
 }
 
 // handleRelease handles a proxy's release of a set-up or an established call.
@@ -426,10 +451,12 @@
 	in := bufio.NewReader(conn)
 	for {
 		m, err := sig.Read(in)
+		r.mu.Lock()
 		if err != nil {
+			conn.peerClosed = true
+			r.mu.Unlock()
 			return
 		}
-		r.mu.Lock()
 		handle(m)
 		r.mu.Unlock()
 	}
