core, trunk: fail set-ups that wait for a dial before the proxy exits

Cause: a set-up that waits for a connection was out of reach of FailUnanswered. Its context didn't end with it, and dialSession, when the set-up dialled by itself, waited for its own timer (0.5 s) whatever the context did, against the promise of core.Link. 0.25 s are left between FailUnanswered and the exit.

Change: the dial runs in a goroutine of its own and keeps the link's semaphore to its end; the set-up returns when its context does, which ends with FailUnanswered too. The dial still serves others.

Measured: TestCallsThatWaitForAConnectionFailBeforeTheKill fails without the half in core (failed after 10 s, the attempt's own time), TestSetUpDoesNotOutlastItsContext without the half in trunk (60 s, the dial's). Both pass with the change.

--- a/internal/core/call.go
+++ b/internal/core/call.go
@@ -111,6 +111,8 @@
 			reply, endedBy = c.awaitReply(call, sentAt.Add(send.Timeout))
 		} else if call.ctx.Err() != nil {
 			endedBy = endedByCaller
+		} else if c.shutdown.Err() != nil {
+			endedBy = endedByShutdown
 		}
 		switch {
 		case endedBy == endedByCaller, endedBy == endedByShutdown:
@@ -207,7 +209,7 @@
 	case <-call.ctx.Done():
 		c.withdraw(call)
 		return callerLeft{}
-	case <-c.shutdown:
+	case <-c.shutdown.Done():
 		c.withdraw(call)
 		return shuttingDown{}
 	case <-overdueTimer:
@@ -259,7 +261,7 @@
 		case <-call.ctx.Done():
 			endedBy = endedByCaller
 			break wait
-		case <-c.shutdown:
+		case <-c.shutdown.Done():
 			endedBy = endedByShutdown
 			break wait
 		case a := <-call.actions:
@@ -334,6 +336,7 @@
 	deadline := time.Now().Add(send.Timeout)
 	ctx, cancel := context.WithDeadline(call.ctx, deadline)
 	defer cancel()
+	defer context.AfterFunc(c.shutdown, cancel)() // a dial may outlast the proxy
 	err = sw.link.SetUp(ctx, call.SetUp, deadline, func() bool { return ctx.Err() == nil && c.acceptsSetUps(sw) })
 	return sw.link, err
 }
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -169,7 +169,8 @@
 	changed         chan struct{}          // closed and replaced when unanswered or len(calls) falls
 	removedSwitches map[*listedSwitch]bool // removed switches whose links are still open
 	stopped         bool                   // set by StopAccepting
-	shutdown        chan struct{}          // closed by FailUnanswered
+	shutdown        context.Context        // ends with FailUnanswered
+	beginShutdown   context.CancelFunc
 	closed          bool
 }
 
@@ -206,8 +207,9 @@
 	c := &Core{options: options, log: options.Log, startTime: time.Now(), ctx: ctx, callGroup: group,
 		controller: controller, calls: map[uint64]*callState{}, callsByName: map[string]*callState{},
 		switches: map[string]*listedSwitch{}, removedSwitches: map[*listedSwitch]bool{},
-		endedCalls: map[uint64]time.Time{}, changed: make(chan struct{}), shutdown: make(chan struct{}),
+		endedCalls: map[uint64]time.Time{}, changed: make(chan struct{}),
 		unknownHangUps: make(chan unknownHangUp, maxUnknownHangUps)}
+	c.shutdown, c.beginShutdown = context.WithCancel(ctx)
 	c.background.Go(c.releaseUnknownCalls)
 	return c, nil
 }
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -15,11 +15,12 @@
 // fakeNetwork is the caller of every call and, through fakeLink, all switches. Its channels
 // record what each side received.
 type fakeNetwork struct {
-	toSwitches    chan string                     // "ID set-up", "ID cancel", "ID release", "close ID"
-	toCaller      chan string                     // "answer DESCRIPTION", "refused", "failed", "cut", "ended"
-	beforeSend    func(maySend func() bool) error // runs in each Link.SetUp, if set
-	blockRelease  chan struct{}                   // if set, releases to switches block until it is closed
-	failingSwitch string                          // ID of the switch whose probes fail
+	toSwitches        chan string                     // "ID set-up", "ID cancel", "ID release", "close ID"
+	toCaller          chan string                     // "answer DESCRIPTION", "refused", "failed", "cut", "ended"
+	beforeSend        func(maySend func() bool) error // runs in each Link.SetUp, if set
+	waitForConnection func(ctx context.Context) error // runs first in each Link.SetUp, if set
+	blockRelease      chan struct{}                   // if set, releases to switches block until it is closed
+	failingSwitch     string                          // ID of the switch whose probes fail
 }
 
 type fakeLink struct {
@@ -27,7 +28,12 @@
 	id      string
 }
 
-func (link fakeLink) SetUp(_ context.Context, _ *SetUp, _ time.Time, maySend func() bool) error {
+func (link fakeLink) SetUp(ctx context.Context, _ *SetUp, _ time.Time, maySend func() bool) error {
+	if link.network.waitForConnection != nil {
+		if err := link.network.waitForConnection(ctx); err != nil {
+			return err
+		}
+	}
 	if link.network.beforeSend != nil {
 		if err := link.network.beforeSend(maySend); err != nil {
 			return err
@@ -341,6 +347,31 @@
 	}
 }
 
+// Guards against a set-up without a final answer at a planned restart, as in review/2: one that waits for
+// a connection to a switch must be failed too.
+func TestCallsThatWaitForAConnectionFailBeforeTheKill(t *testing.T) {
+	c, network := newCore(t)
+	waiting := make(chan struct{})
+	network.waitForConnection = func(ctx context.Context) error {
+		close(waiting)
+		<-ctx.Done()
+		return ErrNotReached
+	}
+	applyList(c, false, Switch{ID: "a", Addr: "x", Exchange: 1})
+	offer(t, c, network, 1, 1)
+	<-waiting
+	c.StopAccepting()
+	c.FailUnanswered()
+	began := time.Now()
+	network.expect(t, network.toCaller, "failed")
+	if took := time.Since(began); took > 5*time.Second { // the set-up itself is given up after 10 s
+		t.Errorf("failed after %v, want at once", took)
+	}
+	if err := c.WaitForCalls(t.Context(), true); err != nil || len(network.toCaller)+len(network.toSwitches) > 0 {
+		t.Errorf("%v; %d more answers, %d messages to switches", err, len(network.toCaller), len(network.toSwitches))
+	}
+}
+
 // A late list cuts only the calls established before the restart that it reports. A switch
 // whose address is given to another switch is removed, even if the list does not say so.
 func TestLateListCutsOnlyEarlierCalls(t *testing.T) {
--- a/internal/core/stop.go
+++ b/internal/core/stop.go
@@ -13,17 +13,10 @@
 	c.stopped = true
 }
 
-// FailUnanswered fails every call whose final answer is pending. A proxy calls it before it
-// is killed, as the callers would otherwise get no answer.
-func (c *Core) FailUnanswered() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	select {
-	case <-c.shutdown:
-	default:
-		close(c.shutdown)
-	}
-}
+// FailUnanswered fails every call whose final answer is pending, also while it waits for a
+// connection to a switch. A proxy calls it before it is killed, as the callers would otherwise
+// get no answer.
+func (c *Core) FailUnanswered() { c.beginShutdown() }
 
 // EndUnverifiedCalls ends the calls established at silent switches whose probes fail, and
 // returns when their callers have been notified. A proxy calls it before it stops: no other
--- a/internal/trunk/link.go
+++ b/internal/trunk/link.go
@@ -180,7 +180,7 @@
 }
 
 // connect returns the session for set-ups and dials if there is none. Concurrent callers
-// share the result of one dial.
+// share the result of one dial, which goes on if the context ends before it.
 func (l *Link) connect(ctx context.Context) (*session, error) {
 	requested := time.Now()
 	select {
@@ -188,17 +188,33 @@
 	case <-ctx.Done():
 		return nil, ctx.Err()
 	}
-	defer func() { <-l.dialing }()
 	l.mu.Lock()
 	current, last := l.current, l.lastDial
 	l.mu.Unlock()
-	if current != nil {
-		return current, nil
-	}
-	if last.err != nil && last.at.After(requested) {
+	if current != nil || last.err != nil && last.at.After(requested) {
+		<-l.dialing
+		if current != nil {
+			return current, nil
+		}
 		return nil, last.err
 	}
-	return l.dialSession()
+	type dialedSession struct {
+		session *session
+		err     error
+	}
+	dialed := make(chan dialedSession, 1)
+	l.group.Go(func() error {
+		defer func() { <-l.dialing }()
+		s, err := l.dialSession()
+		dialed <- dialedSession{s, err}
+		return nil
+	})
+	select {
+	case d := <-dialed:
+		return d.session, d.err
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
 }
 
 // dialResult is the outcome of a dial.
--- a/internal/trunk/trunk_test.go
+++ b/internal/trunk/trunk_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"log/slog"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -154,3 +155,44 @@
 		t.Errorf("written: %q, want %q", got, want)
 	}
 }
+
+// Guards against a set-up without an answer at a planned restart: one that waits for a dial must return
+// when its context ends, and not when the dial does. The dial goes on for others.
+func TestSetUpDoesNotOutlastItsContext(t *testing.T) {
+	dials, reachable := make(chan bool, 16), make(chan struct{})
+	var dialed atomic.Bool
+	conn := &recordingConn{written: make(chan string, 8), closed: make(chan struct{})}
+	l := New(t.Context(), core.Switch{ID: "s1", Addr: "addr"}, discardHandler{}, Timeouts{Dial: time.Minute, Silence: time.Minute}, slog.New(slog.DiscardHandler), metrics.New(),
+		func(ctx context.Context, _ string) (Conn, error) {
+			dials <- true
+			if !dialed.Swap(true) {
+				return nil, errors.New("refused at once, so that the set-up dials next")
+			}
+			select {
+			case <-reachable:
+				return conn, nil
+			case <-ctx.Done():
+				return nil, ctx.Err()
+			}
+		})
+	defer l.Close()
+	<-dials
+	for failed := false; !failed; time.Sleep(time.Millisecond) {
+		l.mu.Lock()
+		failed = l.lastDial.err != nil
+		l.mu.Unlock()
+	}
+	short, cancel := context.WithTimeout(t.Context(), 10*time.Millisecond)
+	defer cancel()
+	began := time.Now()
+	if err := l.SetUp(short, &core.SetUp{ID: 0xa1}, time.Now(), nil); !errors.Is(err, core.ErrNotReached) || time.Since(began) > 10*time.Second {
+		t.Errorf("%v after %v, want core.ErrNotReached at the end of the context", err, time.Since(began))
+	}
+	close(reachable)
+	if err := l.SetUp(t.Context(), &core.SetUp{ID: 0xb2}, time.Now(), nil); err != nil {
+		t.Error(err)
+	}
+	if got, want := <-conn.written, "set up 00000000000000b2"; got != want || len(dials) != 1 {
+		t.Errorf("written: %q, want %q; %d further dials, want 1", got, want, len(dials))
+	}
+}
