trunk: read a replaced connection until its silence ends

A connection that was silent when another replaced it was half closed and read for 3 s more. Releases that the switch sent there before it saw the close arrived when the silence ended, at a closed connection; and no further one was opened on which the switch would have repeated them. The first release that was read after the half close also ended the reading, as its acknowledgement couldn't be written.

Change: a connection that was silent when it was replaced is read for 30 s, three of them at most; a reset counts as a sign of another machine only in the first 3 s, as before. Nothing is written on a half-closed connection. The tests' pipe fails writes after CloseWrite, as a connection does, and the test's counter of dials is atomic: the race detector found it unguarded.

Measured: TestReleasesThatArriveAfterASilenceAreReceived (6 s, virtual time) fails before with none of two releases received and passes now, also with the race detector.

--- a/internal/trunk/link.go
+++ b/internal/trunk/link.go
@@ -493,7 +493,7 @@
 		l.scheduleRenewal()
 	}
 	switch reset := errors.Is(err, syscall.ECONNRESET); {
-	case reset && s.silentWhenReplaced:
+	case reset && s.resetIsEvidence:
 		l.apply(l.detector.ReplacedConnectionReset(time.Now()), err, s.replacedAt)
 	case reset && !s.replaced:
 		now := time.Now()
@@ -505,6 +505,25 @@
 	return outstanding
 }
 
+// limitReplacedSessions closes the oldest of the replaced sessions that are still read, if there
+// are more than maxReplacedSessions. The lock is held.
+func (l *Link) limitReplacedSessions() {
+	var oldest *session
+	count := 0
+	for s := range l.sessions {
+		if s.closeReason != metrics.CloseReplaced {
+			continue
+		}
+		count++
+		if oldest == nil || s.replacedAt.Before(oldest.replacedAt) {
+			oldest = s
+		}
+	}
+	if count > maxReplacedSessions {
+		oldest.conn.Close()
+	}
+}
+
 // mayHaveCalls reports whether the switch may still send releases: calls are established
 // there, or may be since before this proxy started. The lock is held.
 func (l *Link) mayHaveCalls() bool {
--- a/internal/trunk/liveness_test.go
+++ b/internal/trunk/liveness_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"log/slog"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"testing/synctest"
@@ -55,19 +56,30 @@
 }
 func (p *pipe) end(err error) { p.endOnce.Do(func() { p.ended <- err }) }
 func (p *pipe) record(message string, id uint64) error {
+	select {
+	case <-p.writeClosed:
+		p.end(io.ErrClosedPipe)
+		return io.ErrClosedPipe
+	default:
+	}
 	p.writes <- message + formatCallID(id)
 	return nil
 }
 
 // endRecorder is a Handler that records the reason when calls are declared ended.
 type endRecorder struct {
-	ended chan string
+	ended    chan string
+	released chan uint64 // calls that the switch released; nil: not recorded
 }
 
 func (r endRecorder) Answered(uint64, []byte) core.AnswerStatus { return core.Accepted }
-func (r endRecorder) Ended(id uint64, e core.Outcome)           {}
-func (r endRecorder) GroupReported(routing.Report)              {}
-func (r endRecorder) SwitchSilent()                             {}
+func (r endRecorder) Ended(id uint64, e core.Outcome) {
+	if r.released != nil {
+		r.released <- id
+	}
+}
+func (r endRecorder) GroupReported(routing.Report) {}
+func (r endRecorder) SwitchSilent()                {}
 func (r endRecorder) CallsEnded(reason core.EndReason, _ time.Time) {
 	r.ended <- reason.String()
 }
@@ -121,12 +133,11 @@
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				conns := make(chan *pipe, 64)
-				dials := -1
+				var dials atomic.Int64
 				handler := endRecorder{ended: make(chan string, 8)}
 				l := New(t.Context(), core.Switch{ID: "s1", Addr: "addr"}, handler, Timeouts{Dial: 500 * time.Millisecond, Silence: time.Second, ReleaseBackoff: 500 * time.Millisecond},
 					slog.New(slog.DiscardHandler), metrics.New(), func(ctx context.Context, _ string) (Conn, error) {
-						n := dials
-						dials++
+						n := int(dials.Add(1)) - 2 // -1: the first connection
 						if n >= 0 {
 							if err := tc.dial(n); errors.Is(err, errDialTimeout) {
 								<-ctx.Done()
@@ -177,3 +188,38 @@
 		})
 	}
 }
+
+// Guards against releases that are lost: a switch sends them on the connection of the set-up while that
+// is open for it. If the connection is silent and another has replaced it, they arrive when the
+// silence ends, which may be seconds after this side has closed its half.
+func TestReleasesThatArriveAfterASilenceAreReceived(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		conns := make(chan *pipe, 64)
+		handler := endRecorder{ended: make(chan string, 8), released: make(chan uint64, 8)}
+		l := New(t.Context(), core.Switch{ID: "s1", Addr: "addr"}, handler, Timeouts{Dial: 500 * time.Millisecond, Silence: time.Second, ReleaseBackoff: 500 * time.Millisecond},
+			slog.New(slog.DiscardHandler), metrics.New(), func(context.Context, string) (Conn, error) {
+				p := newPipe()
+				conns <- p
+				return p, nil
+			})
+		silent := <-conns
+		calls := []uint64{0xa1, 0xb2}
+		for _, id := range calls {
+			silent.events <- Event{Kind: Answer, Call: id}
+		}
+		<-silent.writeClosed // a probe has replaced the connection
+		time.Sleep(6 * time.Second)
+		for _, id := range calls {
+			silent.events <- Event{Kind: End, Call: id, End: core.Outcome{Result: routing.Ended}}
+		}
+		synctest.Wait()
+		var got []uint64
+		for len(handler.released) > 0 {
+			got = append(got, <-handler.released)
+		}
+		if diff := cmp.Diff(calls, got); diff != "" {
+			t.Errorf("released calls (-want +got):\n%s", diff)
+		}
+		l.Close()
+	})
+}
--- a/internal/trunk/session.go
+++ b/internal/trunk/session.go
@@ -7,6 +7,7 @@
 	"net"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"violetspan.example/violetspan/internal/core"
@@ -14,9 +15,16 @@
 	"violetspan.example/violetspan/routing"
 )
 
-// replacedReadPeriod is how long a replaced connection is read for what the switch had sent
-// by then.
-const replacedReadPeriod = 3 * time.Second
+const (
+	// replacedReadPeriod is how long a replaced connection is read for what the switch had sent
+	// by then.
+	replacedReadPeriod = 3 * time.Second
+	// silentReadPeriod replaces it for a connection that was silent when it was replaced: what the
+	// switch sends on it may arrive only when the silence ends.
+	silentReadPeriod = 30 * time.Second
+	// maxReplacedSessions limits the connections that are read after they were replaced.
+	maxReplacedSessions = 3
+)
 
 // minSilentPeriod is how long a connection must have been silent for its reset to be
 // evidence about the switch: a connection in use is also reset by network faults.
@@ -39,8 +47,10 @@
 	lastReceived       time.Time // when something was last received, or the connection came up
 	replaced           bool      // another session takes the set-ups
 	replacedAt         time.Time
-	silentWhenReplaced bool   // a reset in answer to its close then shows that another peer has the address
-	closeReason        string // metrics label of its end, if this side ended it
+	silentWhenReplaced bool
+	resetIsEvidence    bool        // a reset in answer to its close shows that another peer has the address
+	halfClosed         atomic.Bool // nothing more can be written; not guarded
+	closeReason        string      // metrics label of its end, if this side ended it
 }
 
 func newSession(l *Link, conn Conn) *session {
@@ -138,21 +148,37 @@
 	s.replaced, s.replacedAt = true, now
 	s.silentWhenReplaced = now.Sub(s.lastReceived) >= minSilentPeriod
 	s.closeIfReplaced()
+	s.link.limitReplacedSessions()
 }
 
-// closeIfReplaced closes a replaced session without outstanding set-ups. What the switch had
-// sent by then is still read. The link's lock is held.
+// closeIfReplaced closes the sending side of a replaced session without outstanding set-ups. It is
+// read on for some time: the switch may have sent something before it notices. The link's lock is
+// held.
 func (s *session) closeIfReplaced() {
 	if !s.replaced || len(s.outstanding) > 0 || s.closeReason != "" {
 		return
 	}
 	s.closeReason = metrics.CloseReplaced
+	s.halfClosed.Store(true)
 	half, ok := s.conn.(HalfCloser)
 	if !ok || half.CloseWrite() != nil {
 		s.conn.Close()
 		return
 	}
-	time.AfterFunc(replacedReadPeriod, func() { s.conn.Close() })
+	s.resetIsEvidence = s.silentWhenReplaced
+	time.AfterFunc(replacedReadPeriod, s.replacedReadPeriodOver)
+}
+
+// replacedReadPeriodOver closes a replaced session, or if it was silent, some time later.
+func (s *session) replacedReadPeriodOver() {
+	s.link.mu.Lock()
+	defer s.link.mu.Unlock()
+	s.resetIsEvidence = false // a later reset may be a fault of the network
+	if !s.silentWhenReplaced {
+		s.conn.Close()
+		return
+	}
+	time.AfterFunc(silentReadPeriod-replacedReadPeriod, func() { s.conn.Close() })
 }
 
 // read handles messages from the switch until the connection ends, and then reports the
@@ -232,12 +258,17 @@
 	}
 }
 
+var errHalfClosed = fmt.Errorf("%w: the connection is no longer written to", core.ErrNotSent)
+
 // write sends one whole message. On an error it closes the connection, and the reader then
 // ends what was outstanding on it. If maySend is set and returns false, nothing is written and
 // the error is core.ErrNotSent.
 func (s *session) write(maySend func() bool, send func() error) error {
 	s.writeMu.Lock()
 	defer s.writeMu.Unlock()
+	if s.halfClosed.Load() {
+		return errHalfClosed // the session is still read
+	}
 	if maySend != nil && !maySend() {
 		return core.ErrNotSent
 	}
