trunk: keep a connection whose ping is answered late until its set-ups end

What callers would see: set-ups at a switch of the call API that are reset and tried again, or refused, because the switch takes more than 0.5 s to answer a ping.

Cause: as with the late replies of discovery, a time limit gave up a slow peer: a ping without a reply in the time of a dial closed the connection, with the set-ups that were open on it.

Change: another connection is dialled and replaces it, as at switches without pings. The old one takes no more set-ups and closes with its last one. The evidence is counted as before: the ping and the dial are a probe each.

--- a/internal/trunk/link.go
+++ b/internal/trunk/link.go
@@ -155,24 +155,22 @@
 }
 
 // probeSwitch probes the switch while the current connection is silent: by a ping if the
-// protocol has one, otherwise by another connection, which replaces the current one.
+// protocol has one, and if that gets no reply in time or there is none, by another connection,
+// which replaces the current one. That one may only be slow: its set-ups may still be answered.
 func (l *Link) probeSwitch(current *session) error {
 	ctx, cancel := context.WithTimeout(l.ctx, l.timeouts.Dial)
 	defer cancel()
 	if p, ok := current.conn.(Pinger); ok {
 		err := p.Ping(ctx)
 		l.recordPing(err)
-		if err != nil {
-			l.mu.Lock()
-			current.close(metrics.CloseSilent)
-			l.mu.Unlock()
+		if err == nil {
+			return nil
 		}
-		return err
 	}
 	select {
 	case l.dialing <- struct{}{}:
-	case <-ctx.Done():
-		return ctx.Err()
+	case <-l.ctx.Done():
+		return l.ctx.Err()
 	}
 	defer func() { <-l.dialing }()
 	_, err := l.dialSession()
