platform: a test ages its connections only once all of them are accepted

By reading: it aged the connections of the server while the last one might not be accepted yet, so that this one wasn't old enough to be the one that is closed. It waits for all three now; what it checks is unchanged.

--- a/internal/platform/server_test.go
+++ b/internal/platform/server_test.go
@@ -121,6 +121,9 @@
 	if got := receive(t, active); got != testPassed {
 		t.Fatalf("got %q", got)
 	}
+	for server.ConnCount() < 3 { // the unused one may not be accepted yet
+		time.Sleep(time.Millisecond)
+	}
 	server.mu.Lock()
 	for c := range server.conns {
 		c.lastUsable = c.lastUsable.Add(-time.Hour) // the unused connection is older than a tenth of firstRequestTimeout
