trunk, platform: read on after a message of a switch that comes in two pieces

What callers saw, in a soak trial: releases told up to 1.1 s after the switch had sent them (1.05 s are allowed), a dozen calls at a time.

A message that wasn't complete 0.5 s after its first byte took its connection out of use, and all that came on it later was discarded. A partition had cut one in two; when it ended, the switch sent the releases of the meantime on that connection, and the proxy heard them only where the switch repeated them, on the next connection.

The log of the proxy that tells late has "connection to switch is silent in the middle of a message" for that switch, 0.5 s after the partition began.

Change: the connection still takes no more set-ups, and those open on it are reset, but Read continues the message when the rest arrives, and what follows is handled. An answer there finds no attempt: the call is not set up at that switch again. The buffer is peeked, so nothing is consumed before a message is complete; one that is longer than the buffer (1 KiB) is not continued, as before.

Measured: TestIncompleteMessageIsContinued and TestMessagesAfterAnIncompleteOneAreReceived are new and need the new error.

--- a/internal/platform/server_test.go
+++ b/internal/platform/server_test.go
@@ -21,6 +21,7 @@
 	"violetspan.example/violetspan/internal/core"
 	"violetspan.example/violetspan/internal/metrics"
 	"violetspan.example/violetspan/internal/sig"
+	"violetspan.example/violetspan/internal/trunk"
 )
 
 var testRules = SetUpRules{Classes: map[string]Class{"space-check": {Width: 1, MaxWait: time.Hour}}, Destinations: 3}
@@ -263,7 +264,7 @@
 // connection, as it does after a failed write: a buffered release must still be returned.
 func TestMessagesReadBeforeACloseAreReturned(t *testing.T) {
 	ours, theirs := net.Pipe()
-	c := &switchConn{ours, bufio.NewReaderSize(ours, readBufferSize)}
+	c := &switchConn{Conn: ours, in: bufio.NewReaderSize(ours, readBufferSize)}
 	var b []byte
 	for _, id := range []uint64{1, 2} {
 		m := sig.WithCause(sig.Release, id, sig.CauseNormal)
@@ -282,6 +283,32 @@
 	}
 }
 
+// Guards against losing what a switch sends after a pause in the middle of a message: the message and the
+// next one must be read once the rest arrives.
+func TestIncompleteMessageIsContinued(t *testing.T) {
+	ours, theirs := net.Pipe()
+	defer ours.Close()
+	c := &switchConn{Conn: ours, in: bufio.NewReaderSize(ours, readBufferSize)}
+	m := sig.WithCause(sig.Release, 1, sig.CauseNormal)
+	b, _ := m.Append(nil)
+	proceed := make(chan bool)
+	go func() {
+		for _, piece := range [][]byte{b[:1], b[1:5], append(b[5:len(b):len(b)], b...)} {
+			theirs.Write(piece)
+			<-proceed
+		}
+	}()
+	if _, err := c.Read(); !errors.Is(err, trunk.ErrIncomplete) {
+		t.Fatalf("got %v, want trunk.ErrIncomplete", err)
+	}
+	close(proceed)
+	for range 2 {
+		if ev, err := c.Read(); err != nil || ev.Call != 1 || ev.Kind != trunk.End {
+			t.Errorf("got %+v, %v, want the release of call 1", ev, err)
+		}
+	}
+}
+
 // Guards against a busy loop of polls when the command channel replies at once without new events.
 func TestEmptyRepliesDoNotCauseABusyLoop(t *testing.T) {
 	var polls atomic.Int64
--- a/internal/platform/switchconn.go
+++ b/internal/platform/switchconn.go
@@ -5,10 +5,12 @@
 import (
 	"bufio"
 	"context"
+	"encoding/binary"
 	"errors"
 	"fmt"
 	"io"
 	"net"
+	"os"
 	"strconv"
 	"time"
 
@@ -41,7 +43,8 @@
 // switchConn is a connection to a switch. It implements trunk.Conn.
 type switchConn struct {
 	net.Conn
-	in *bufio.Reader
+	in         *bufio.Reader
+	incomplete bool // the last Read returned trunk.ErrIncomplete
 }
 
 // Dial connects to a switch that speaks the binary protocol.
@@ -51,7 +54,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &switchConn{c, bufio.NewReaderSize(c, readBufferSize)}, nil
+	return &switchConn{Conn: c, in: bufio.NewReaderSize(c, readBufferSize)}, nil
 }
 
 // Read reads the next message. It returns an error, which ends the connection, for a malformed
@@ -61,7 +64,7 @@
 	if err := waitForFirstByte(c.Conn, c.in); err != nil {
 		return trunk.Event{}, err
 	}
-	m, err := readMessage(c.Conn, c.in, trunk.MessageTimeout)
+	m, err := c.readMessage()
 	if err != nil {
 		return trunk.Event{}, err
 	}
@@ -88,6 +91,38 @@
 	return ev, nil
 }
 
+// readMessage reads a message whose first byte has arrived, within trunk.MessageTimeout. If that
+// passes, the error is trunk.ErrIncomplete, and the next call waits for the rest without a timeout. A
+// message that is longer than the buffer can't be continued: the error is os.ErrDeadlineExceeded.
+func (c *switchConn) readMessage() (sig.Message, error) {
+	var deadline time.Time
+	if !c.incomplete {
+		deadline = time.Now().Add(trunk.MessageTimeout)
+	}
+	_ = c.SetReadDeadline(deadline)
+	err := c.fillBuffer()
+	c.incomplete = errors.Is(err, os.ErrDeadlineExceeded)
+	switch {
+	case c.incomplete:
+		return sig.Message{}, trunk.ErrIncomplete
+	case errors.Is(err, io.EOF):
+		return sig.Message{}, io.ErrUnexpectedEOF
+	case err != nil:
+		return sig.Message{}, err
+	}
+	return sig.Read(c.in)
+}
+
+// fillBuffer waits until the buffer holds the next message, or as much of it as it can hold.
+func (c *switchConn) fillBuffer() error {
+	length, err := c.in.Peek(sig.LengthSize)
+	if err != nil {
+		return err
+	}
+	_, err = c.in.Peek(min(sig.LengthSize+int(binary.BigEndian.Uint16(length)), c.in.Size()))
+	return err
+}
+
 // SetUp sends a set-up with its class, number and description unchanged, and the time left until
 // the deadline as its wait (at least 1 ms).
 func (c *switchConn) SetUp(setUp *core.SetUp, deadline time.Time) error {
--- a/internal/sig/sig.go
+++ b/internal/sig/sig.go
@@ -59,6 +59,10 @@
 // ErrMalformed is wrapped by every error about the contents of a message.
 var ErrMalformed = errors.New("malformed message")
 
+// LengthSize is the size, in bytes, of the length with which a message begins. It counts what
+// follows it.
+const LengthSize = 2
+
 // Param is one parameter of a message.
 type Param struct {
 	Code  byte
@@ -122,7 +126,7 @@
 // if the contents are invalid.
 func Read(r io.Reader) (Message, error) {
 	var m Message
-	var length [2]byte
+	var length [LengthSize]byte
 	if _, err := io.ReadFull(r, length[:]); err != nil {
 		return m, err
 	}
--- a/internal/trunk/liveness_test.go
+++ b/internal/trunk/liveness_test.go
@@ -23,6 +23,7 @@
 // how it ends.
 type pipe struct {
 	events      chan Event
+	incomplete  chan bool  // a value: a message is incomplete
 	ended       chan error // holds the error that ends the connection
 	writes      chan string
 	endOnce     sync.Once
@@ -31,13 +32,15 @@
 }
 
 func newPipe() *pipe {
-	return &pipe{events: make(chan Event, 8), ended: make(chan error, 1), writes: make(chan string, 64), writeClosed: make(chan struct{})}
+	return &pipe{events: make(chan Event, 8), incomplete: make(chan bool, 1), ended: make(chan error, 1), writes: make(chan string, 64), writeClosed: make(chan struct{})}
 }
 
 func (p *pipe) Read() (Event, error) {
 	select {
 	case ev := <-p.events:
 		return ev, nil
+	case <-p.incomplete:
+		return Event{}, ErrIncomplete
 	case err := <-p.ended:
 		return Event{}, err
 	}
@@ -268,3 +271,28 @@
 		l.Close()
 	})
 }
+
+// Guards against releases that are lost behind a message in two pieces: after a pause in the middle of a
+// message the connection takes no more set-ups, but what follows on it is still read.
+func TestMessagesAfterAnIncompleteOneAreReceived(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		conns := make(chan *pipe, 64)
+		handler := endRecorder{ended: make(chan string, 8), released: make(chan uint64, 8)}
+		l := New(t.Context(), core.Switch{ID: "s1", Addr: "addr"}, handler, Timeouts{Dial: 500 * time.Millisecond, Silence: time.Minute, ReleaseBackoff: 500 * time.Millisecond},
+			slog.New(slog.DiscardHandler), metrics.New(), func(context.Context, string) (Conn, error) {
+				p := newPipe()
+				conns <- p
+				return p, nil
+			})
+		first := <-conns
+		first.events <- Event{Kind: Answer, Call: 0xa1}
+		first.incomplete <- true
+		<-conns // another connection takes the set-ups
+		first.events <- Event{Kind: End, Call: 0xa1, End: core.Outcome{Result: routing.Ended}}
+		synctest.Wait()
+		if len(handler.released) != 1 {
+			t.Errorf("%d calls released, want 1", len(handler.released))
+		}
+		l.Close()
+	})
+}
--- a/internal/trunk/session.go
+++ b/internal/trunk/session.go
@@ -81,6 +81,17 @@
 	s.markSilent("connection to switch is silent")
 }
 
+// messageIncomplete takes the session out of use, if it is in use, because the switch fell silent in
+// the middle of a message.
+func (s *session) messageIncomplete() {
+	s.link.mu.Lock()
+	if s.link.current != s {
+		s.link.mu.Unlock()
+		return
+	}
+	s.markSilent("connection to switch is silent in the middle of a message")
+}
+
 // markSilent takes a silent session out of use and logs the message. The connection stays
 // open beside its successor. The link's lock is held on entry; markSilent releases it.
 func (s *session) markSilent(message string) {
@@ -189,7 +200,12 @@
 	var err error
 	for {
 		var ev Event
-		if ev, err = s.conn.Read(); err != nil {
+		ev, err = s.conn.Read()
+		if errors.Is(err, ErrIncomplete) {
+			s.messageIncomplete()
+			continue // what follows is still good if the rest arrives
+		}
+		if err != nil {
 			break
 		}
 		s.received()
@@ -199,8 +215,8 @@
 		s.handle(ev)
 	}
 	if drainer, ok := s.conn.(Drainer); ok && errors.Is(err, os.ErrDeadlineExceeded) {
-		// The switch fell silent in the middle of a message. The session stays open: how it
-		// ends shows whether the next connection reaches the same peer.
+		// The rest of a message that is too long to be continued. The session stays open: how
+		// it ends shows whether the next connection reaches the same peer.
 		link.mu.Lock()
 		s.markSilent("connection to switch is silent in the middle of a message")
 		if err = drainer.Drain(); err == nil {
--- a/internal/trunk/trunk.go
+++ b/internal/trunk/trunk.go
@@ -18,7 +18,7 @@
 // Conn is one connection to a switch. Read is called by one goroutine, the other methods
 // by one goroutine at a time; each of these fails after WriteTimeout. Read fails on
 // anything that can't be a message from a switch. The connection is then unusable,
-// whether it stays open or not.
+// whether it stays open or not, unless the error is ErrIncomplete.
 type Conn interface {
 	Read() (Event, error)
 	// SetUp sends a set-up that the switch must answer by the deadline. It returns an error
@@ -30,6 +30,10 @@
 	Close() error
 }
 
+// ErrIncomplete is returned by Conn.Read if a message is not complete MessageTimeout after its first
+// byte. Read can be called again; it then waits for the rest without a timeout.
+var ErrIncomplete = errors.New("a message is incomplete")
+
 // HalfCloser is a Conn whose writing side can be closed while what the switch had sent by
 // then is still read.
 type HalfCloser interface {
@@ -52,7 +56,7 @@
 type Dial func(ctx context.Context, addr string) (Conn, error)
 
 // MessageTimeout limits how long a message from a switch may take once it has begun: an
-// incomplete message blocks all that follow it.
+// incomplete message blocks all that follow it. The connection then takes no more set-ups.
 const MessageTimeout = 500 * time.Millisecond
 
 // WriteTimeout limits every write. It is below the drain grace period, so that no byte of
