platform: wait for the rest of a caller's message while a set-up is open there

Change: the reader waits another 2 s as often as a set-up is open on the connection, and reads the message when its rest arrives. Without an open set-up, and when the proxy stops, the connection ends as before. An open set-up ends with its answer, so no connection is held for longer than callers wait.

Measured: both cases of TestSlowMessageKeepsOpenSetUps fail before (the connection ends without an answer) and pass now, also with the race detector.

--- a/internal/platform/callerconn.go
+++ b/internal/platform/callerconn.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net"
+	"os"
 	"sync"
 	"time"
 
@@ -34,6 +35,8 @@
 	evicted         bool            // closed in favour of another connection
 	unusableCount   int             // unusable messages since the last usable one
 	lastUsable      time.Time       // when the last usable message was received; initially created
+
+	inMessage bool // a message has begun; used by the reader only
 }
 
 func newCallerConn(s *Server, netConn net.Conn, at time.Time) *callerConn {
@@ -44,12 +47,14 @@
 // still open on it; after a malformed message it also releases them with CauseProtocolError.
 func (c *callerConn) serve() {
 	server := c.server
-	in := bufio.NewReaderSize(c, readBufferSize)
+	in := bufio.NewReaderSize(callerReader{c}, readBufferSize)
 	var err error
 	for err == nil {
 		var m sig.Message
 		if err = c.awaitMessage(in); err == nil {
+			c.inMessage = true
 			m, err = readMessage(c.Conn, in, c.messageTimeout())
+			c.inMessage = false
 		}
 		if err == nil {
 			err = c.handle(&m, time.Now())
@@ -93,6 +98,31 @@
 	return c.server.messageTimeout
 }
 
+// callerReader reads from a caller's connection. It waits for the rest of a message for as long as a
+// set-up is open on the connection, as its answer is due there.
+type callerReader struct{ c *callerConn }
+
+// Read implements io.Reader.
+func (r callerReader) Read(b []byte) (int, error) {
+	for {
+		n, err := r.c.Conn.Read(b)
+		if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) || !r.c.extendMessage() {
+			return n, err
+		}
+	}
+}
+
+// extendMessage gives a message another messageTimeout if a set-up is open on the connection. It
+// returns false if the connection is to be closed instead.
+func (c *callerConn) extendMessage() bool {
+	c.server.mu.Lock()
+	defer c.server.mu.Unlock()
+	if !c.inMessage || c.closing || len(c.openSetUps)+c.answersInFlight == 0 {
+		return false
+	}
+	return c.SetReadDeadline(time.Now().Add(c.server.messageTimeout)) == nil
+}
+
 var errIdle = errors.New("idle for too long")
 
 // closeReason returns the metrics label for the end of the connection. Must be called with
--- a/internal/platform/server_test.go
+++ b/internal/platform/server_test.go
@@ -221,6 +221,48 @@
 	}
 }
 
+// Guards against set-ups without an answer: a message that takes too long must not end its connection
+// while a set-up is open there, and must still be read when its rest arrives.
+func TestSlowMessageKeepsOpenSetUps(t *testing.T) {
+	for name, finishes := range map[string]bool{"never finished": false, "finished": true} {
+		t.Run(name, func(t *testing.T) {
+			const messageTimeout = 20 * time.Millisecond
+			server, dial := startServer(t, 8, 8, time.Hour, messageTimeout)
+			c := dial()
+			send(t, c, newSetUp(7))
+			caller := waitForOffer(t, server)
+			const half = "\x00\x0d\x34\x00"
+			if _, err := c.Write([]byte(half)); err != nil {
+				t.Fatal(err)
+			}
+			time.Sleep(5 * messageTimeout)
+			if finishes {
+				m := testMessage
+				b, err := m.Append(nil)
+				if err != nil {
+					t.Fatal(err)
+				}
+				if _, err := c.Write(b[len(half):]); err != nil {
+					t.Fatal(err)
+				}
+				if got := receive(t, c); got != testPassed {
+					t.Errorf("got %q for the message in two pieces", got)
+				}
+			}
+			caller.Fail(7)
+			if got := receive(t, c); got != "12 7 41" {
+				t.Errorf("got %q for the set-up that was open", got)
+			}
+			if finishes {
+				return
+			}
+			if got := receive(t, c); got != "" {
+				t.Errorf("got %q, want the end of the connection", got)
+			}
+		})
+	}
+}
+
 // silentConn is a connection that delivers a set-up and then times out and ends.
 type silentConn struct {
 	net.Conn // nil: no other method is called
