--- a/internal/trunk/session.go
+++ b/internal/trunk/session.go
@@ -158,6 +158,7 @@
 	now := time.Now()
 	s.replaced, s.replacedAt = true, now
 	s.silentWhenReplaced = now.Sub(s.lastReceived) >= minSilentPeriod
+	s.resetIsEvidence = s.silentWhenReplaced
 	s.closeIfReplaced()
 	s.link.limitReplacedSessions()
 }
@@ -176,7 +177,6 @@
 		s.conn.Close()
 		return
 	}
-	s.resetIsEvidence = s.silentWhenReplaced
 	time.AfterFunc(replacedReadPeriod, s.replacedReadPeriodOver)
 }
 
