Known red: noise from a switch is taken for an incomplete message for 0.5 s

Noise ended its connection at once before; now that takes 0.5 s, the connection stays open, and the set-ups on it are refused instead of tried again.

No code of the program changes.

--- a/internal/platform/server_test.go
+++ b/internal/platform/server_test.go
@@ -351,6 +351,19 @@
 	}
 }
 
+// Known red (KNOWN-RED.txt): what can't be a message, by its length, must end the connection at once, as
+// the set-ups that are open on it can then be tried again. It is taken for an incomplete message.
+func TestInvalidLengthEndsTheConnectionAtOnce(t *testing.T) {
+	ours, theirs := net.Pipe()
+	defer ours.Close()
+	c := &switchConn{Conn: ours, in: bufio.NewReaderSize(ours, readBufferSize)}
+	go theirs.Write([]byte("HTTP/1.1 400"))
+	began := time.Now()
+	if _, err := c.Read(); !errors.Is(err, sig.ErrMalformed) || time.Since(began) >= trunk.MessageTimeout {
+		t.Errorf("got %v after %v, want sig.ErrMalformed before %v", err, time.Since(began), trunk.MessageTimeout)
+	}
+}
+
 // Guards against a busy loop of polls when the command channel replies at once without new events.
 func TestEmptyRepliesDoNotCauseABusyLoop(t *testing.T) {
 	var polls atomic.Int64
