--- /dev/null
+++ b/review/stand2/cases_test.go
@@ -0,0 +1,253 @@
+//go:build review2
+
+package stand2
+
+import (
+	"fmt"
+	"time"
+)
+
+func init() {
+	cases["removed-tenant"] = removedTenant
+	cases["stored-answers"] = storedAnswers
+	cases["silent-connection"] = silentConnection
+	cases["asked-twice"] = askedTwice
+	cases["large-groups"] = largeGroups
+	cases["long-answer"] = longAnswer
+}
+
+// removedTenant: a tenant leaves the inventory, and another firm gets its id. The connection of
+// the first is still served, as one of the other firm.
+func removedTenant(r *rig) {
+	const first, second = "token-of-the-first-firm", "token-of-another-firm"
+	sw := r.startSwitch("lot-river")
+	switches := []string{switchLine("lot-river", sw.url("/"), 1)}
+	s := r.startService(2, "", inventoryOf(switches, []string{tenantLine("main-lot", first), tenantLine("east-lot", second)}))
+	sw.awaitConns(1)
+
+	old := s.connect("first firm", first)
+	old.setUp("k7-0012", 1, 3000, "call of the first firm")
+	old.mustStand("k7-0012")
+	sw.end("call of the first firm")
+	if old.await(2*time.Second, "k7-0012", isReleased) == nil {
+		r.cannot("the first firm was not told of the end of its call")
+	}
+
+	id := "main-lot"
+	if r.trouble {
+		s.writeInventory(inventoryOf(switches, []string{tenantLine("east-lot", second)}))
+		s.mustCall(204, "POST", "/v1/inventory/reload", "")
+		s.mustCall(404, "GET", "/v1/tenants/main-lot", "")
+	} else {
+		id = "harbour-lot"
+	}
+	token := s.createTenant(id)
+	before := len(old.all())
+	owner := s.connect("new firm", token)
+	owner.setUp("k9-0001", 1, 3000, "first call of the new firm")
+	owner.mustStand("k9-0001")
+	owner.setUp("k9-0002", 1, 3000, "second call of the new firm")
+	owner.mustStand("k9-0002")
+
+	// The first firm hangs up a call that it does not have: an error is due, and no call ends.
+	old.send(message{Type: "release", Call: "k9-0001"})
+	r.sleep(time.Second)
+	if m := owner.await(0, "k9-0001", isReleased); m != nil {
+		r.broke("the new firm's call k9-0001 was ended by the first firm's connection: %v", *m)
+	}
+	if !sw.stands("first call of the new firm") {
+		r.broke("lot-river was sent a release of k9-0001 that its tenant did not ask for")
+	}
+
+	// The new firm's connection closes; its other call ends. That is told to nobody else.
+	owner.close()
+	r.sleep(500 * time.Millisecond)
+	sw.end("second call of the new firm")
+	r.sleep(1500 * time.Millisecond)
+	for _, m := range old.all()[before:] {
+		if m.Call != "" && m.Type != "error" {
+			r.broke("the first firm's connection received a message about the new firm's call: %v", m)
+		}
+	}
+	s.call("GET", "/v1/tenants/"+id, "")
+}
+
+// all returns all messages received.
+func (c *client) all() []message {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return append([]message(nil), c.received...)
+}
+
+// storedAnswers: a tenant is deleted, and one with its id is created for another firm. The other
+// firm's call is answered with what a switch said to the first firm, and never set up.
+func storedAnswers(r *rig) {
+	sw := r.startSwitch("lot-river")
+	n := 0
+	sw.describe = func(m message) string { n++; return fmt.Sprintf("lot-river, place %d", n) }
+	s := r.startService(2, "", inventoryOf([]string{switchLine("lot-river", sw.url("/"), 1)}, nil))
+	sw.awaitConns(1)
+
+	token := s.createTenant("harbour-lot")
+	first := s.connect("first firm", token)
+	first.setUp("1", 1, 3000, "check")
+	first.mustStand("1")
+	sw.end("check")
+	if first.await(2*time.Second, "1", isReleased) == nil {
+		r.cannot("the first firm was not told of the end of its call")
+	}
+	id := "harbour-lot"
+	if r.trouble {
+		s.mustCall(204, "DELETE", "/v1/tenants/harbour-lot", "")
+	} else {
+		id = "bridge-lot"
+	}
+	r.sleep(500 * time.Millisecond)
+	second := s.connect("second firm", s.createTenant(id))
+	setUps := sw.setUpCount()
+	second.setUp("1", 1, 3000, "check")
+	answer := second.await(4*time.Second, "1", message.isFinal)
+	r.sleep(500 * time.Millisecond)
+	switch {
+	case answer == nil:
+		r.broke("the second firm's call has no final answer")
+	case answer.Type == "answer" && sw.setUpCount() == setUps:
+		r.broke("the second firm's call was answered, but no set-up was sent: the answer is the first firm's: %v", *answer)
+	}
+	// And a call with other content: the second firm has used its id once only.
+	second.setUp("2", 1, 3000, "other")
+	if m := second.await(4*time.Second, "2", message.isFinal); m == nil {
+		r.broke("call 2 has no final answer")
+	}
+}
+
+// askedTwice: a client asks twice for the same call. It is refused, as the tenant's share of the
+// storage is full, and the second time answered.
+func askedTwice(r *rig) {
+	const token = "token-of-main-lot-16"
+	sw := r.startSwitch("lot-river")
+	s := r.startService(2, `,"keep_answers_s":10,"max_kept_calls":80`,
+		inventoryOf([]string{switchLine("lot-river", sw.url("/"), 1)}, []string{tenantLine("main-lot", token)}))
+	sw.awaitConns(1)
+	c := s.connect("kiosk", token)
+	const share = 80 / 4
+	for i := range share {
+		call := fmt.Sprintf("k-%02d", i)
+		c.setUp(call, 1, 3000, call)
+		c.mustStand(call)
+		sw.end(call)
+	}
+	r.sleep(7500 * time.Millisecond)
+	c.setUp("twice", 1, 3000, "twice")
+	first := c.await(4*time.Second, "twice", message.isFinal)
+	if first == nil {
+		r.broke("the call has no final answer within its wait")
+		return
+	}
+	firstSetUps := sw.setUpCount()
+	r.sleep(4500 * time.Millisecond) // less than keep_answers_s after the answer
+	if r.trouble {
+		c.setUp("twice", 1, 3000, "twice")
+	}
+	r.sleep(4 * time.Second)
+	for _, m := range c.about("twice") {
+		if m.isFinal() && (m.Type != first.Type || m.Reason != first.Reason) {
+			r.broke("one call has two final answers: %v and %v", *first, m)
+		}
+	}
+	if first.Type == "refused" && sw.setUpCount() != firstSetUps {
+		r.broke("lot-river was sent the set-up of a call whose caller had its final answer, refused")
+	}
+}
+
+// largeGroups: the switches report groups of as many circuits as an inventory may have.
+func largeGroups(r *rig) {
+	const token, exchanges = "token-of-main-lot-16", 12
+	var switches []string
+	var all []*apiSwitch
+	for i := 1; i < exchanges; i++ {
+		sw := r.startSwitch(fmt.Sprintf("lot-%d", i))
+		if r.trouble {
+			sw.free, sw.size = 1_000_000, 1_000_000
+		}
+		if i == 1 {
+			sw.free = 0
+		}
+		all = append(all, sw)
+		switches = append(switches, switchLine(sw.name, sw.url("/"), i))
+	}
+	s := r.startService(exchanges, "", inventoryOf(switches, []string{tenantLine("main-lot", token)}))
+	for _, sw := range all {
+		sw.awaitConns(1)
+	}
+	c := s.connect("kiosk", token)
+	c.setUp("direct", 2, 3000, "direct")
+	c.mustStand("direct")
+	c.setUp("over-a-tandem", 1, 3000, "over-a-tandem") // no circuit is free to lot-1
+	if m := c.await(4*time.Second, "over-a-tandem", message.isFinal); m == nil {
+		r.broke("the call has no final answer within its wait")
+	}
+	if s.exited() {
+		r.broke("the proxy crashed: %v", s.cmd.ProcessState)
+	}
+}
+
+// longAnswer: a switch answers with a description of the length that the page allows.
+func longAnswer(r *rig) {
+	const token = "token-of-main-lot-16"
+	sw := r.startSwitch("lot-river")
+	s := r.startService(2, "", inventoryOf([]string{switchLine("lot-river", sw.url("/"), 1)}, []string{tenantLine("main-lot", token)}))
+	sw.awaitConns(1)
+	element := "text"
+	if r.trouble {
+		element = "<a/>"
+	}
+	sw.describe = func(message) string {
+		b := ""
+		for len(b) < 8<<10 {
+			b += element
+		}
+		return b
+	}
+	for i := range 3 { // the kiosk reconnects and repeats the set-up
+		c := s.connect(fmt.Sprintf("kiosk, connection %d", i+1), token)
+		c.setUp("k7-0012", 1, 3000, "check")
+		if c.await(4*time.Second, "k7-0012", message.isFinal) != nil {
+			return
+		}
+	}
+	r.broke("the caller has no final answer, although its call stands")
+}
+
+// silentConnection: the connection to a switch falls silent for 3 s and stays open. A release that
+// the switch sent on it never reaches the caller.
+func silentConnection(r *rig) {
+	const token = "token-of-main-lot-16"
+	sw := r.startSwitch("lot-river")
+	y := r.startRelay(sw.addr)
+	s := r.startService(2, "", inventoryOf([]string{switchLine("lot-river", "ws://"+y.addr+"/", 1)}, []string{tenantLine("main-lot", token)}))
+	sw.awaitConns(1)
+	c := s.connect("kiosk", token)
+	c.setUp("a", 1, 3000, "a")
+	c.mustStand("a")
+	r.sleep(500 * time.Millisecond)
+	if r.trouble {
+		y.holdFor(3 * time.Second)
+	}
+	r.sleep(100 * time.Millisecond)
+	endedAt := time.Now()
+	sw.end("a")
+	c.setUp("b", 1, 8000, "b")
+	if m := c.await(9*time.Second, "b", message.isFinal); m == nil {
+		r.broke("call b has no final answer within its wait")
+	}
+	released := c.await(time.Until(endedAt.Add(20*time.Second)), "a", isReleased)
+	const limit = 8050 * time.Millisecond
+	switch {
+	case released == nil:
+		r.broke("the caller of a was not told of its end within 20 s; %v is the limit", limit)
+		s.call("GET", "/v1/status", "")
+	case released.at.Sub(endedAt) > limit:
+		r.broke("the caller of a was told of its end after %v; %v is the limit", released.at.Sub(endedAt), limit)
+	}
+}
