--- a/review/stand2/cases_platform_test.go
+++ b/review/stand2/cases_platform_test.go
@@ -247,3 +247,68 @@
 		r.broke("the caller was told of the end of its call %v after its release", released.at.Sub(endedAt))
 	}
 }
+
+func init() { cases["restart-and-death"] = restartAndDeath }
+
+// restartAndDeath: the proxy is restarted as planned while calls stand, and some seconds later the
+// switch's process dies. (VARIANT=restart or death: only that.)
+func restartAndDeath(r *rig) {
+	variant := os.Getenv("VARIANT")
+	sw := r.startLotSwitch("s-1")
+	ch := r.startChannel(event(1, true, member("s-1", sw.addr, 1, "up")))
+	listen := r.freeAddr()
+	p := r.startPlatform(ch, listen)
+	sw.awaitConns(1)
+	c := r.startCaller(listen)
+	var calls []uint64
+	for i := range 5 {
+		call := 0x51a0_0000_0000_0001 + uint64(i)
+		calls = append(calls, call)
+		c.setUp(call, 1, 3000)
+		c.mustStand(call)
+	}
+	r.sleep(time.Second)
+	if r.trouble && variant != "death" {
+		r.note("SIGTERM to the proxy")
+		_ = p.cmd.Process.Signal(syscall.SIGTERM)
+		select {
+		case <-p.done:
+		case <-time.After(3700 * time.Millisecond):
+			r.note("SIGKILL to the proxy")
+			_ = p.cmd.Process.Kill()
+			<-p.done
+		}
+		r.startPlatform(ch, listen)
+		c = r.startCaller(listen)
+		c.setUp(0x51a0_0000_0000_1001, 1, 3000)
+		c.mustStand(0x51a0_0000_0000_1001)
+	}
+	r.sleep(2 * time.Second)
+	diedAt := time.Now()
+	if r.trouble && variant != "restart" {
+		sw.die()
+		time.AfterFunc(2*time.Second, func() { ch.tell(member("s-1", sw.addr, 1, "removed")) })
+	} else {
+		for _, call := range calls {
+			sw.end(call)
+		}
+	}
+	told := until(8050*time.Millisecond, func() bool {
+		for _, call := range calls {
+			if c.about(call, sig.Release) == nil {
+				return false
+			}
+		}
+		return true
+	})
+	r.sleep(3 * time.Second)
+	if !told {
+		for _, call := range calls {
+			if m := c.about(call, sig.Release); m == nil {
+				r.broke("the caller of %016x was not told of its end within 11 s; 8.05 s is the limit", call)
+			} else if late := m.at.Sub(diedAt); late > 8050*time.Millisecond {
+				r.broke("the caller of %016x was told of its end after %v; 8.05 s is the limit", call, late)
+			}
+		}
+	}
+}
--- a/review/stand2/platform_test.go
+++ b/review/stand2/platform_test.go
@@ -426,3 +426,14 @@
 		time.Sleep(left)
 	}
 }
+
+// die ends the switch as the death of its process does: its connections are reset, new ones are
+// refused, and its calls are cut without a release.
+func (s *lotSwitch) die() {
+	s.ln.Close()
+	s.resetConns()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.r.note("%s dies, and cuts %d calls", s.name, len(s.standing))
+	s.standing = map[uint64]*lotConn{}
+}
