--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -3,4 +3,4 @@
 # TROUBLE=0 leaves the disruption out. Needs the build of deploy/balancer.toml and review/build-2.sh.
 folder=$(cd "$(dirname "$0")" && pwd) && cd "$folder/../.." || exit 2
 [ -x bin/review2 ] && [ -x bin/violetspan ] || { echo "not built: deploy/balancer.toml, review/build-2.sh"; exit 2; }
-exec bin/review2 asked-twice "$folder"
+exec bin/review2 removed-tenant "$folder"
--- a/review/stand2/cases_test.go
+++ b/review/stand2/cases_test.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"syscall"
 	"time"
 )
 
@@ -255,3 +256,94 @@
 		r.broke("the caller of a was told of its end after %v; %v is the limit", released.at.Sub(endedAt), limit)
 	}
 }
+
+func init() { cases["many-ends"] = manyEnds }
+
+// manyEnds: a client with 300 calls that stand loses its connection, and the calls end. It
+// reconnects 3 s later, and is not told of the ends.
+func manyEnds(r *rig) {
+	const token, number = "token-of-main-lot-16", 300
+	sw := r.startSwitch("lot-river")
+	sw.free, sw.size = 400, 400
+	s := r.startService(2, "", inventoryOf([]string{switchLine("lot-river", sw.url("/"), 1)}, []string{tenantLine("main-lot", token)}))
+	sw.awaitConns(1)
+	c := s.connect("kiosk", token)
+	name := func(i int) string { return fmt.Sprintf("k-%03d", i) }
+	for i := range number {
+		c.setUp(name(i), 1, 3000, name(i))
+		c.mustStand(name(i))
+	}
+	if r.trouble {
+		c.close()
+		r.sleep(300 * time.Millisecond)
+	}
+	for i := range number {
+		sw.end(name(i))
+		r.sleep(5 * time.Millisecond)
+	}
+	told := map[string]bool{}
+	count := func(c *client) int {
+		for _, m := range c.all() {
+			if m.Type == "released" {
+				told[m.Call] = true
+			}
+		}
+		return len(told)
+	}
+	connections := 1
+	for end := time.Now().Add(12 * time.Second); time.Now().Before(end) && count(c) < number; r.sleep(50 * time.Millisecond) {
+		c.mu.Lock()
+		ended := c.ended != nil
+		c.mu.Unlock()
+		if ended && connections < 6 {
+			connections++
+			r.sleep(time.Second)
+			c = s.connect(fmt.Sprintf("kiosk, connection %d", connections), token)
+		}
+	}
+	r.note("told of %d ends of %d, on %d connections", count(c), number, connections)
+	if len(told) < number {
+		r.broke("the caller was not told of %d of %d ends", number-len(told), number)
+	}
+}
+
+func init() { cases["planned-stop"] = plannedStop }
+
+// plannedStop: the proxy is stopped as planned while 400 calls of one client stand. The client
+// reads all the time.
+func plannedStop(r *rig) {
+	const token = "token-of-main-lot-16"
+	const number = 400
+	sw := r.startSwitch("lot-river")
+	sw.free, sw.size = 500, 500
+	s := r.startService(2, "", inventoryOf([]string{switchLine("lot-river", sw.url("/"), 1)}, []string{tenantLine("main-lot", token)}))
+	sw.awaitConns(1)
+	c := s.connect("kiosk", token)
+	name := func(i int) string { return fmt.Sprintf("k-%03d", i) }
+	for i := range number {
+		c.setUp(name(i), 1, 3000, name(i))
+		c.mustStand(name(i))
+	}
+	if r.trouble {
+		r.note("SIGTERM to the proxy")
+		_ = s.cmd.Process.Signal(syscall.SIGTERM)
+		<-s.done
+		r.sleep(500 * time.Millisecond)
+	} else {
+		for i := range number {
+			sw.end(name(i))
+			r.sleep(5 * time.Millisecond)
+		}
+		r.sleep(time.Second)
+	}
+	told := map[string]bool{}
+	for _, m := range c.all() {
+		if m.Type == "released" {
+			told[m.Call] = true
+		}
+	}
+	r.note("told of %d ends of %d", len(told), number)
+	if len(told) < number {
+		r.broke("the caller was not told of %d of %d ends", number-len(told), number)
+	}
+}
