--- a/review/stand2/platform_test.go
+++ b/review/stand2/platform_test.go
@@ -284,7 +284,9 @@
 			}
 		}
 	}
-	s.repeat = append(s.repeat, release)
+	if stands {
+		s.repeat = append(s.repeat, release)
+	}
 	s.mu.Unlock()
 	if !stands {
 		s.r.note("%s: call %016x does not stand", s.name, call)
@@ -382,7 +384,7 @@
 func (c *caller) setUp(call uint64, dest, waitMs int) {
 	c.send(sig.Message{Type: sig.SetUp, Call: call, Params: []sig.Param{{Code: sig.ParamClass, Value: []byte("space-check")},
 		{Code: sig.ParamWait, Value: []byte(strconv.Itoa(waitMs))}, {Code: sig.ParamTenant, Value: []byte("main-lot")},
-		{Code: sig.ParamNumber, Value: fmt.Appendf(nil, "7f3a9c21e0b4%04x", call&0xffff)},
+		{Code: sig.ParamNumber, Value: fmt.Appendf(nil, "7f3a%012x", call&0xffffffffffff)},
 		{Code: sig.ParamAttributes, Value: fmt.Appendf(nil, "dest:%d;width:1;via:-1", dest)},
 		{Code: sig.ParamDescription, Value: []byte("a call")}}})
 }
--- a/review/stand2/rig_test.go
+++ b/review/stand2/rig_test.go
@@ -247,7 +247,7 @@
 // start starts a command by the shell, in the repository's root, with further variables in its
 // environment.
 func (r *rig) start(command string, env ...string) *proc {
-	p := &proc{cmd: exec.Command("/bin/sh", "-c", command), done: make(chan struct{}), log: filepath.Join(r.tmp, "log.txt")}
+	p := &proc{cmd: exec.Command("/bin/sh", "-c", command), done: make(chan struct{}), log: filepath.Join(r.tmp, fmt.Sprintf("log-%d.txt", time.Since(r.started).Microseconds()))}
 	out, err := os.Create(p.log)
 	if err != nil {
 		r.cannot("%v", err)
