--- a/review/stand2/api_test.go
+++ b/review/stand2/api_test.go
@@ -161,6 +161,7 @@
 	name, addr string // addr is the server's host and port
 	describe   func(message) string
 	free, size int
+	ln         net.Listener
 
 	mu      sync.Mutex
 	conns   []*websocket.Conn
@@ -177,7 +178,7 @@
 	if err != nil {
 		r.cannot("%v", err)
 	}
-	s.addr = ln.Addr().String()
+	s.addr, s.ln = ln.Addr().String(), ln
 	go func() { _ = http.Serve(ln, http.HandlerFunc(s.serve)) }()
 	return s
 }
--- a/review/stand2/cases_test.go
+++ b/review/stand2/cases_test.go
@@ -347,3 +347,46 @@
 		r.broke("the caller was not told of %d of %d ends", number-len(told), number)
 	}
 }
+
+func init() { cases["many-cuts"] = manyCuts }
+
+// manyCuts: the process of a switch dies at which 400 calls of one client stand. The client reads
+// all the time.
+func manyCuts(r *rig) {
+	const token, number = "token-of-main-lot-16", 400
+	sw := r.startSwitch("lot-river")
+	sw.free, sw.size = 500, 500
+	s := r.startService(2, "", inventoryOf([]string{switchLine("lot-river", sw.url("/"), 1)}, []string{tenantLine("main-lot", token)}))
+	sw.awaitConns(1)
+	c := s.connect("kiosk", token)
+	name := func(i int) string { return fmt.Sprintf("k-%03d", i) }
+	for i := range number {
+		c.setUp(name(i), 1, 3000, name(i))
+		c.mustStand(name(i))
+	}
+	if r.trouble {
+		r.note("lot-river dies")
+		sw.ln.Close()
+		sw.mu.Lock()
+		for _, conn := range sw.conns {
+			conn.CloseNow()
+		}
+		sw.mu.Unlock()
+	} else {
+		for i := range number {
+			sw.end(name(i))
+			r.sleep(5 * time.Millisecond)
+		}
+	}
+	r.sleep(9 * time.Second)
+	told := 0
+	for _, m := range c.all() {
+		if m.Type == "released" {
+			told++
+		}
+	}
+	r.note("told of %d ends of %d", told, number)
+	if told < number {
+		r.broke("the caller was not told of %d of %d ends", number-told, number)
+	}
+}
