Stand-ins: a port that is cut off accepts no connection on a busy machine

Cause: a partition fills the listener's backlog until a dial fails within 30 ms. On a busy machine a dial takes longer although there is room; the backlog then stays open, and the next probe of the program connects to a switch without power.

Change: the backlog counts as full after two dials in a row have failed, the second within 200 ms. A power-off silences the ports and ends the calls first and fills the backlogs then, all at the same time, so that the calls' ends are not noted later than before.

--- a/internal/standin/network.go
+++ b/internal/standin/network.go
@@ -46,8 +46,11 @@
 const (
 	backlog         = 128
 	fillDialTimeout = 30 * time.Millisecond // a dial on loopback that takes longer won't succeed
-	maxFillers      = 8
-	staleWindow     = 100 * time.Millisecond // a connection accepted this soon after a silence was established during it
+	// On a busy machine a dial may take longer although the backlog has room; it then leaves the room free.
+	// The backlog counts as full after dials with these timeouts, in a row, have failed.
+	confirmDialTimeout = 200 * time.Millisecond
+	maxFillers         = 8
+	staleWindow        = 100 * time.Millisecond // a connection accepted this soon after a silence was established during it
 )
 
 // Open starts listening. It does nothing if the port is listening or closed.
@@ -150,10 +153,17 @@
 		return err
 	}
 	// A backlog of 0 still admits one or two connections: unused connections fill it.
+	timeout := fillDialTimeout
 	for range maxFillers {
-		c, err := net.DialTimeout("tcp", p.addr, fillDialTimeout)
-		if err != nil {
+		c, err := net.DialTimeout("tcp", p.addr, timeout)
+		switch {
+		case err == nil:
+			timeout = fillDialTimeout
+		case timeout == confirmDialTimeout:
 			return nil
+		default:
+			timeout = confirmDialTimeout
+			continue
 		}
 		p.mu.Lock()
 		p.fillers = append(p.fillers, c)
--- a/internal/standin/switch.go
+++ b/internal/standin/switch.go
@@ -8,6 +8,8 @@
 	"sync"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"violetspan.example/violetspan/internal/sig"
 )
 
@@ -104,31 +106,26 @@
 // PowerOff simulates a loss of power: calls end without a release, open connections are silent
 // and no new one is established.
 func (s *Switch) PowerOff() error {
-	var failed error
 	s.mu.Lock()
 	s.poweredOff = true
 	s.mu.Unlock()
 	s.forEachPort(func(p *switchPort) {
-		if err := p.Partition(); err != nil {
-			failed = err
-		}
+		p.Hang()
 		p.endAll(false)
 	})
-	return failed
+	return s.Partition("")
 }
 
 // Partition makes the connections of one proxy silent and lets no new one be established; with ""
 // those of all proxies. Restore ends it.
 func (s *Switch) Partition(proxy string) error {
-	var failed error
+	var group errgroup.Group // at the same time, as each port takes a while
 	s.forEachPort(func(p *switchPort) {
 		if proxy == "" || p.proxy == proxy {
-			if err := p.Partition(); err != nil {
-				failed = err
-			}
+			group.Go(p.Partition)
 		}
 	})
-	return failed
+	return group.Wait()
 }
 
 // Restore ends the effect of Partition or Hang.
@@ -450,6 +447,7 @@
 	if call != nil {
 		p.sw.Ledger.AttemptEnded(id, p.sw.ID, !call.established && !p.recentlySilent())
 		if call.established {
+			p.sw.Ledger.ReleasedByProxy(id)
 			p.sw.Ledger.CallEnded(id)
 		}
 	}
