Planned restart: hand established calls over by way of peers, end the others

Cause: a planned exit left established calls to the releases of their switches. A process that dies sends none, and the next process of the proxy knew nothing of the calls, so it had nothing to end.

Change: a proxy that stops offers its established calls, with their switch, to two of its peers; datagrams are acknowledged, repeated and taken from the addresses of the peers only. The next process claims them, and supervises them as its own. The former process's latest sign of life of a switch goes along, so that the time limit runs from there. The soak's ledger no longer excuses ends that were not told because of a planned restart.

--- a/decide/liveness/liveness.go
+++ b/decide/liveness/liveness.go
@@ -66,6 +66,8 @@
 	settings          Settings
 	state             State
 	lastEvidence      time.Time
+	hasEvidence       bool // lastEvidence is this detector's own
+	inherited         time.Time
 	lastReceived      time.Time // when something was last received
 	silentConnections int       // connections on which set-ups were sent and nothing was received since
 	failedProbes      int       // probes that failed since the last evidence
@@ -89,6 +91,18 @@
 	return &Detector{settings: settings, lastEvidence: now, lastReceived: now}
 }
 
+// InheritEvidence sets the time of the latest evidence of life that a former process had. It applies
+// until this detector has evidence of its own: its creation is none.
+func (d *Detector) InheritEvidence(at time.Time) {
+	if d.hasEvidence || !at.After(d.inherited) {
+		return
+	}
+	d.inherited, d.lastEvidence, d.lastReceived = at, at, at
+}
+
+// LastEvidence returns the time of the latest evidence of life.
+func (d *Detector) LastEvidence() time.Time { return d.lastEvidence }
+
 // Decision is what follows from the evidence at a given time.
 type Decision struct {
 	State State
@@ -119,6 +133,7 @@
 // markAlive records evidence that the machine is alive.
 func (d *Detector) markAlive(now time.Time) {
 	d.state, d.lastEvidence, d.failedProbes = Alive, now, 0
+	d.hasEvidence = true
 	d.wasReset, d.silentReset = false, false
 }
 
--- a/decide/liveness/liveness_test.go
+++ b/decide/liveness/liveness_test.go
@@ -25,7 +25,19 @@
 	oneCall := func(d *Detector, _ time.Time) { d.SetEstablished(1) }
 	noCall := func(d *Detector, _ time.Time) { d.SetEstablished(0) }
 	probeEarly := func(d *Detector, now time.Time) { d.ProbeEarlyUntil(now.Add(10 * time.Second)) }
+	inherit := func(d *Detector, _ time.Time) { d.InheritEvidence(at(-3)) }
 	for name, steps := range map[string][]step{
+		"calls of a former process, whose last evidence is 3 s older": {
+			{0, inherit, Decision{State: Alive}},
+			{0, oneCall, Decision{State: Alive, NextCheck: at(1.5)}},
+			{3, probeFailed, Decision{State: Suspected, Probe: true, NextCheck: at(4)}},
+			{4, probeFailed, Decision{State: Unreachable, CallsEnded: true}},
+		},
+		"own evidence is later than what a former process had": {
+			{0, connected, Decision{State: Alive}},
+			{1, inherit, Decision{State: Alive}},
+			{1, oneCall, Decision{State: Alive, NextCheck: at(4.5)}},
+		},
 		"no established call": {
 			{100, probeFailed, Decision{State: Alive}},
 		},
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -35,9 +35,17 @@
 	MemoryMB    int    // limit on memory, in MiB
 	ChannelAddr string // address of the command channel
 	KnownEvents []byte // the channel's events before start-up, in its wire format
+	Peers       *Peers // nil: this proxy sends no messages to others
 	Settings    Settings
 }
 
+// Peers are the proxies of the tier, which may send each other datagrams.
+type Peers struct {
+	Listen    string   // address of the own socket
+	Addresses []string // by the proxies' numbers, the own one included
+	Own       int      // the own number
+}
+
 // Settings are the controller's settings and the values that the platform server and the
 // call API derive from the same configuration.
 type Settings struct {
@@ -64,6 +72,7 @@
 	maxClasses   = 1000
 	minSockets   = 64
 	maxFileBytes = 8 << 20
+	maxPeers     = 1 << 12
 )
 
 // FromEnv reads the configuration file named by ROUTER_CONFIG. ROUTER_NAME and
@@ -122,9 +131,31 @@
 	} else {
 		p.KnownEvents = []byte(known.ToString())
 	}
+	p.Peers = r.peers()
 	return p, r.err
 }
 
+// peers reads the addresses of the peers. It returns nil if the settings forbid messages between
+// proxies, or if there is no other proxy or the own number among them is not known.
+func (r *reader) peers() *Peers {
+	count := r.get("peers").Size()
+	own := r.integer("settings.ordinal", -1, -1, math.MaxInt32)
+	if !r.boolean("settings.limits.peers") || r.stringOr("peer_listen", "") == "" || count < 2 || count > maxPeers {
+		return nil
+	}
+	p := &Peers{Listen: r.requiredAddress("peer_listen"), Own: own}
+	for i := range count {
+		p.Addresses = append(p.Addresses, r.requiredAddress("peers."+strconv.Itoa(i)))
+	}
+	if own < 0 {
+		p.Own = slices.Index(p.Addresses, p.Listen)
+	}
+	if p.Own < 0 || p.Own >= count {
+		return nil
+	}
+	return p
+}
+
 // ResourceLimits are the shares of the platform's limits for its server, the core and the
 // call API.
 type ResourceLimits struct {
@@ -166,6 +197,7 @@
 	}{
 		{"limits.sockets", p.Sockets != updated.Sockets},
 		{"limits.memory_mb", p.MemoryMB != updated.MemoryMB},
+		{"peers", !reflect.DeepEqual(p.Peers, updated.Peers)},
 		{"settings", !reflect.DeepEqual(p.Settings, updated.Settings)},
 	} {
 		if k.changed {
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -41,6 +41,40 @@
 	}
 }
 
+// Guards against calls that are cut at a planned restart although there are peers, and against
+// datagrams where the settings forbid them.
+func TestPeers(t *testing.T) {
+	const two = `"peer_listen":"127.0.0.4:7946","peers":["127.0.3.1:7946","127.0.0.4:7946"]`
+	configOf := func(peers, settings string) []byte {
+		c := strings.Replace(validConfig, `"peers":["127.0.0.1:1"]`, peers, 1)
+		return []byte(strings.Replace(c, `"settings":{`, `"settings":{`+settings, 1))
+	}
+	allowed := func(ordinal string) string { return `"limits":{"peers":true,"mostTries":5},` + ordinal }
+	addresses := []string{"127.0.3.1:7946", "127.0.0.4:7946"}
+	for name, c := range map[string]struct {
+		config []byte
+		want   *Peers
+	}{
+		"by number":                    {configOf(two, allowed(`"ordinal":0,`)), &Peers{"127.0.0.4:7946", addresses, 0}},
+		"without a number, by address": {configOf(two, allowed("")), &Peers{"127.0.0.4:7946", addresses, 1}},
+		"number out of range":          {configOf(two, allowed(`"ordinal":2,`)), nil},
+		"not allowed":                  {configOf(two, ""), nil},
+		"no other proxy":               {configOf(`"peer_listen":"127.0.0.4:7946","peers":["127.0.0.4:7946"]`, allowed("")), nil},
+	} {
+		got, err := Parse(c.config)
+		if err != nil {
+			t.Errorf("%s: %v", name, err)
+			continue
+		}
+		if diff := cmp.Diff(c.want, got.Peers); diff != "" {
+			t.Errorf("%s (-want +got):\n%s", name, diff)
+		}
+	}
+	if _, err := Parse(configOf(`"peer_listen":"127.0.0.4:7946","peers":["127.0.0.1:1","x"]`, allowed(""))); err == nil || !strings.HasPrefix(err.Error(), "key peers.1:") {
+		t.Errorf("a bad address: %v", err)
+	}
+}
+
 func TestFromEnv(t *testing.T) {
 	file := filepath.Join(t.TempDir(), "config.json")
 	if err := os.WriteFile(file, []byte(validConfig), 0o600); err != nil {
--- a/internal/core/call.go
+++ b/internal/core/call.go
@@ -158,29 +158,34 @@
 			c.options.Observer.FinalAnswer(AnswerEstablished)
 			c.options.Observer.AttemptEnded(routing.Ended)
 
-			// The call is established until its switch ends it or its caller hangs up.
-			select {
-			case reply := <-call.replies:
-				if reply.reason.decidedLocally() {
-					link.Release(call.ID) // the switch may still have the call
-				}
-				c.endAttempt(call, send, sentAt, reply.outcome, true)
-				call.caller.Release(call.ID, reply.outcome.Result != routing.Ended)
-				c.options.Observer.CallEnded(reply.reason)
-			case <-call.ctx.Done():
-				reason := EndHandedOver
-				if !c.isHandedOver(call) {
-					reason = EndHungUp
-					link.Release(call.ID)
-				}
-				c.endAttempt(call, send, sentAt, Outcome{Result: routing.Cancelled}, true)
-				c.options.Observer.CallEnded(reason)
-			}
+			c.superviseEstablished(call, link, func(outcome Outcome) { c.endAttempt(call, send, sentAt, outcome, true) })
 			return
 		}
 	}
 }
 
+// superviseEstablished waits until the switch ends an established call or its caller hangs up, and
+// notifies the other side. It calls ended in between.
+func (c *Core) superviseEstablished(call *callState, link Link, ended func(Outcome)) {
+	select {
+	case reply := <-call.replies:
+		if reply.reason.decidedLocally() {
+			link.Release(call.ID) // the switch may still have the call
+		}
+		ended(reply.outcome)
+		call.caller.Release(call.ID, reply.outcome.Result != routing.Ended)
+		c.options.Observer.CallEnded(reply.reason)
+	case <-call.ctx.Done():
+		reason := EndHandedOver
+		if !c.isHandedOver(call) {
+			reason = EndHungUp
+			link.Release(call.ID)
+		}
+		ended(Outcome{Result: routing.Cancelled})
+		c.options.Observer.CallEnded(reason)
+	}
+}
+
 // Results of nextDecision besides the controller's actions.
 type (
 	callerLeft      struct{} // the caller withdrew the set-up
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -33,6 +33,8 @@
 	Transit     bool      // forwarded by another proxy: it may only go to its destination
 	AfterCut    bool      // a new set-up of an established call that was cut
 	Deadline    time.Time // when the caller gives up
+	// Transferable means that another process can notify the caller of the end of the call.
+	Transferable bool
 }
 
 // MaxNumberDigits is the maximum length of a called number, in digits.
@@ -78,6 +80,12 @@
 	CancelSetUp(id uint64)
 	// Release ends an established call.
 	Release(id uint64)
+	// TakeOver records a call that was established at the switch through a former process, which
+	// had the latest sign of life of the switch at lastEvidence. It must not be called with the
+	// core's lock held.
+	TakeOver(id uint64, establishedAt, lastEvidence time.Time)
+	// LastEvidence returns the time of the latest sign of life of the switch.
+	LastEvidence() time.Time
 	// ProbeEarlyUntil shortens the silence after which the link probes the switch, until
 	// the given time.
 	ProbeEarlyUntil(until time.Time)
@@ -145,6 +153,8 @@
 	endedRetention    = 30 * time.Second       // how long the ID of an ended call is kept in endedCalls
 	maxEndedCalls     = 1 << 15
 	maxUnknownHangUps = 1024
+	takeOverPeriod    = 30 * time.Second // after the start, during which calls of the former process are taken over
+	maxEndedUnknown   = 1 << 13
 	clockOffset       = 24 * time.Hour // controller's time at start; above 0, as switches may have started before
 )
 
@@ -165,6 +175,7 @@
 	switches        map[string]*listedSwitch
 	endedCalls      map[uint64]time.Time // recently ended calls, with the time of their end
 	lastSweep       time.Time
+	endedUnknown    map[uint64]bool        // calls not known here that ended in takeOverPeriod
 	unanswered      int                    // calls whose final answer is pending
 	changed         chan struct{}          // closed and replaced when unanswered or len(calls) falls
 	removedSwitches map[*listedSwitch]bool // removed switches whose links are still open
@@ -207,7 +218,7 @@
 	c := &Core{options: options, log: options.Log, startTime: time.Now(), ctx: ctx, callGroup: group,
 		controller: controller, calls: map[uint64]*callState{}, callsByName: map[string]*callState{},
 		switches: map[string]*listedSwitch{}, removedSwitches: map[*listedSwitch]bool{},
-		endedCalls: map[uint64]time.Time{}, changed: make(chan struct{}),
+		endedCalls: map[uint64]time.Time{}, endedUnknown: map[uint64]bool{}, changed: make(chan struct{}),
 		unknownHangUps: make(chan unknownHangUp, maxUnknownHangUps)}
 	c.shutdown, c.beginShutdown = context.WithCancel(ctx)
 	c.background.Go(c.releaseUnknownCalls)
@@ -321,6 +332,7 @@
 		for _, sw := range c.switches {
 			links = append(links, sw.link)
 		}
+		c.noteEndedUnknown(id)
 	}
 	c.mu.Unlock()
 	if call != nil {
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -51,9 +51,13 @@
 }
 func (link fakeLink) ProbeEarlyUntil(time.Time) {}
 func (link fakeLink) ProbeFailing() bool        { return link.network.failingSwitch == link.id }
-func (link fakeLink) StopDialing()              {}
-func (link fakeLink) SetDraining(bool)          {}
-func (link fakeLink) Close()                    { link.network.toSwitches <- "close " + link.id }
+func (link fakeLink) LastEvidence() time.Time   { return time.Time{} }
+func (link fakeLink) TakeOver(uint64, time.Time, time.Time) {
+	link.network.toSwitches <- link.id + " taken over"
+}
+func (link fakeLink) StopDialing()     {}
+func (link fakeLink) SetDraining(bool) {}
+func (link fakeLink) Close()           { link.network.toSwitches <- "close " + link.id }
 
 func (network *fakeNetwork) Answer(_ uint64, description []byte) error {
 	network.toCaller <- "answer " + string(description)
--- a/internal/core/handler.go
+++ b/internal/core/handler.go
@@ -62,6 +62,9 @@
 		}
 		call.deliverReply(switchReply{outcome: outcome, reason: reason})
 	}
+	if !known {
+		c.noteEndedUnknown(id)
+	}
 	c.mu.Unlock()
 	if !known && c.options.OnUnknownRelease != nil &&
 		(outcome.Result == routing.Ended || outcome.Result == routing.Reset) {
--- a/internal/core/stop.go
+++ b/internal/core/stop.go
@@ -30,13 +30,7 @@
 			c.mu.Unlock()
 		}
 	}
-	for _, call := range cut {
-		select {
-		case <-call.done:
-		case <-ctx.Done():
-			return
-		}
-	}
+	awaitRemoval(ctx, cut)
 }
 
 // WaitForCalls waits until no final answer is pending and, if established is set, until no
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -61,6 +61,23 @@
 	PollMoved   = "moved"
 )
 
+// Values of the label of Set.PeerDatagrams: what happened to a datagram between proxies.
+const (
+	DatagramSent          = "sent"
+	DatagramNotSent       = "not_sent"
+	DatagramReceived      = "received"
+	DatagramMalformed     = "malformed"
+	DatagramUnknownSource = "unknown_source"
+)
+
+// Values of the label of Set.Handovers: what happened to an established call at a planned restart.
+const (
+	HandoverAcknowledged = "acknowledged" // a peer holds it for the next process
+	HandoverReleased     = "released"     // no peer does: it was ended before the exit
+	HandoverTaken        = "taken"        // the next process has taken it over
+	HandoverEnded        = "ended"        // it had ended when the next process got it
+)
+
 // Set contains the metrics of one proxy. Use New to create one. It is safe for concurrent
 // use.
 type Set struct {
@@ -77,6 +94,8 @@
 	Releases          *prometheus.CounterVec // by result
 	Polls             *prometheus.CounterVec // by result
 	OverduePolls      prometheus.Counter     // polls without a timely reply
+	PeerDatagrams     *prometheus.CounterVec // by result
+	Handovers         *prometheus.CounterVec // by result
 }
 
 // New returns a Set with its own registry.
@@ -91,6 +110,8 @@
 	s.CallerConnsClosed = s.counterVec("violetspan_caller_connections_closed_total", "Connections from callers that ended.", "reason")
 	s.Releases = s.counterVec("violetspan_caller_releases_total", "Releases of calls that stood, towards callers.", "result")
 	s.Polls = s.counterVec("violetspan_discovery_polls_total", "Calls to discovery.", "result")
+	s.PeerDatagrams = s.counterVec("violetspan_peer_datagrams_total", "Datagrams between proxies.", "result")
+	s.Handovers = s.counterVec("violetspan_handover_calls_total", "Established calls at a planned restart.", "result")
 	s.SetUpsHeldBack = s.counter("violetspan_attempts_held_back_total", "Set-ups that a rule kept from being sent.")
 	s.OverduePolls = s.counter("violetspan_discovery_polls_overdue_total", "Calls to discovery without a reply in time.")
 	return s
--- /dev/null
+++ b/internal/peer/codec.go
@@ -0,0 +1,163 @@
+package peer
+
+import (
+	"errors"
+	"fmt"
+	"time"
+
+	"google.golang.org/protobuf/encoding/protowire"
+
+	"violetspan.example/violetspan/decide/handover"
+)
+
+// MaxDatagramBytes is the maximum length of a datagram between proxies.
+const MaxDatagramBytes = 256
+
+// Fields of a datagram, which is a protobuf message. Times are Unix times in milliseconds.
+const (
+	fieldKind           protowire.Number = 1
+	fieldInstance       protowire.Number = 2 // fixed64
+	fieldSequence       protowire.Number = 3
+	fieldOriginProxy    protowire.Number = 4
+	fieldOriginInstance protowire.Number = 5 // fixed64
+	fieldSwitch         protowire.Number = 6
+	fieldLastEvidence   protowire.Number = 7
+	fieldCalls          protowire.Number = 8 // packed fixed64
+	// fieldEstablished has the times of the calls in the same order, relative to the last evidence:
+	// packed sint64.
+	fieldEstablished protowire.Number = 9
+)
+
+var (
+	errTooLong   = errors.New("datagram is too long")
+	errMalformed = errors.New("malformed datagram")
+)
+
+// encode returns the datagram of a message. It fails if that would be longer than MaxDatagramBytes.
+func encode(m handover.Message) ([]byte, error) {
+	b := make([]byte, 0, MaxDatagramBytes)
+	b = appendVarint(b, fieldKind, uint64(m.Kind))
+	b = appendFixed64(b, fieldInstance, m.Instance)
+	b = appendVarint(b, fieldSequence, uint64(m.Sequence))
+	if m.Kind == handover.Offer || m.Kind == handover.Withdrawal {
+		b = appendVarint(b, fieldOriginProxy, uint64(m.Origin.Proxy))
+		b = appendFixed64(b, fieldOriginInstance, m.Origin.Instance)
+	}
+	switch m.Kind {
+	case handover.Offer:
+		b = appendGroup(b, m.Group)
+	case handover.Withdrawal:
+		b = appendIDs(b, m.Calls)
+	}
+	if len(b) > MaxDatagramBytes {
+		return nil, fmt.Errorf("%w: %d bytes", errTooLong, len(b))
+	}
+	return b, nil
+}
+
+func appendGroup(b []byte, group handover.Group) []byte {
+	base := group.LastEvidence.UnixMilli()
+	b = protowire.AppendTag(b, fieldSwitch, protowire.BytesType)
+	b = protowire.AppendString(b, group.Switch)
+	b = appendVarint(b, fieldLastEvidence, uint64(base))
+	var ids []uint64
+	var times []byte
+	for _, call := range group.Calls {
+		ids = append(ids, call.ID)
+		times = protowire.AppendVarint(times, protowire.EncodeZigZag(call.EstablishedAt.UnixMilli()-base))
+	}
+	b = appendIDs(b, ids)
+	b = protowire.AppendTag(b, fieldEstablished, protowire.BytesType)
+	return protowire.AppendBytes(b, times)
+}
+
+func appendIDs(b []byte, ids []uint64) []byte {
+	var packed []byte
+	for _, id := range ids {
+		packed = protowire.AppendFixed64(packed, id)
+	}
+	b = protowire.AppendTag(b, fieldCalls, protowire.BytesType)
+	return protowire.AppendBytes(b, packed)
+}
+
+func appendVarint(b []byte, field protowire.Number, v uint64) []byte {
+	return protowire.AppendVarint(protowire.AppendTag(b, field, protowire.VarintType), v)
+}
+
+func appendFixed64(b []byte, field protowire.Number, v uint64) []byte {
+	return protowire.AppendFixed64(protowire.AppendTag(b, field, protowire.Fixed64Type), v)
+}
+
+// fields are the decoded fields of a datagram.
+type fields struct {
+	numbers map[protowire.Number]uint64
+	bytes   map[protowire.Number][]byte
+}
+
+// parseFields decodes the fields of a datagram. Fields of other types than those in use are skipped.
+func parseFields(b []byte) (fields, error) {
+	f := fields{map[protowire.Number]uint64{}, map[protowire.Number][]byte{}}
+	for len(b) > 0 {
+		field, fieldType, n := protowire.ConsumeTag(b)
+		if n < 0 {
+			return f, fmt.Errorf("%w: %w", errMalformed, protowire.ParseError(n))
+		}
+		b = b[n:]
+		switch fieldType {
+		case protowire.VarintType:
+			f.numbers[field], n = protowire.ConsumeVarint(b)
+		case protowire.Fixed64Type:
+			f.numbers[field], n = protowire.ConsumeFixed64(b)
+		case protowire.BytesType:
+			f.bytes[field], n = protowire.ConsumeBytes(b)
+		default:
+			n = protowire.ConsumeFieldValue(field, fieldType, b)
+		}
+		if n < 0 {
+			return f, fmt.Errorf("%w: field %d: %w", errMalformed, field, protowire.ParseError(n))
+		}
+		b = b[n:]
+	}
+	return f, nil
+}
+
+// decode returns the message in a datagram.
+func decode(b []byte) (handover.Message, error) {
+	if len(b) > MaxDatagramBytes {
+		return handover.Message{}, fmt.Errorf("%w: %d bytes", errTooLong, len(b))
+	}
+	f, err := parseFields(b)
+	if err != nil {
+		return handover.Message{}, err
+	}
+	m := handover.Message{Kind: handover.Kind(f.numbers[fieldKind]), Instance: f.numbers[fieldInstance], Sequence: uint32(f.numbers[fieldSequence])}
+	ids := f.bytes[fieldCalls]
+	if m.Kind < handover.Claim || m.Kind > handover.Ack || len(ids)%8 != 0 {
+		return m, fmt.Errorf("%w: kind %d, %d bytes of ids", errMalformed, m.Kind, len(ids))
+	}
+	m.Origin = handover.Origin{Proxy: int(f.numbers[fieldOriginProxy]), Instance: f.numbers[fieldOriginInstance]}
+	for len(ids) > 0 {
+		id, n := protowire.ConsumeFixed64(ids)
+		m.Calls, ids = append(m.Calls, id), ids[n:]
+	}
+	if m.Kind == handover.Offer {
+		m.Group, err = decodeGroup(f, m.Calls)
+		m.Calls = nil
+	}
+	return m, err
+}
+
+func decodeGroup(f fields, ids []uint64) (handover.Group, error) {
+	base := int64(f.numbers[fieldLastEvidence])
+	group := handover.Group{Switch: string(f.bytes[fieldSwitch]), LastEvidence: time.UnixMilli(base)}
+	times := f.bytes[fieldEstablished]
+	for _, id := range ids {
+		v, n := protowire.ConsumeVarint(times)
+		if n < 0 {
+			return group, fmt.Errorf("%w: a call without a time", errMalformed)
+		}
+		times = times[n:]
+		group.Calls = append(group.Calls, handover.Call{ID: id, EstablishedAt: time.UnixMilli(base + protowire.DecodeZigZag(v))})
+	}
+	return group, nil
+}
--- a/internal/platform/release.go
+++ b/internal/platform/release.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"time"
 
+	"violetspan.example/violetspan/internal/core"
 	"violetspan.example/violetspan/internal/metrics"
 	"violetspan.example/violetspan/internal/sig"
 )
@@ -49,6 +50,18 @@
 	}
 }
 
+// FormerCaller returns the caller of calls that a former process of this proxy answered. Their ends are
+// sent to callers as ForwardUnknownRelease does.
+func (s *Server) FormerCaller() core.Caller { return formerCaller{s} }
+
+// formerCaller implements core.Caller for calls that have their final answer already.
+type formerCaller struct{ server *Server }
+
+func (c formerCaller) Release(id uint64, cut bool) { c.server.ForwardUnknownRelease(id, cut) }
+func (formerCaller) Answer(uint64, []byte) error   { return errNotOpen }
+func (formerCaller) Refuse(uint64, time.Duration)  {}
+func (formerCaller) Fail(uint64)                   {}
+
 // startRelease registers a release and returns a function that sends it, on the preferred
 // connection if possible. The release is sent again on another connection if callers that
 // acknowledge releases do not acknowledge it: a release that crosses a close is lost without
--- a/internal/platform/rules.go
+++ b/internal/platform/rules.go
@@ -40,7 +40,7 @@
 func (r *SetUpRules) parse(m *sig.Message, receivedAt time.Time) (*core.SetUp, error) {
 	setUp := &core.SetUp{ID: m.Call, Dest: -1, Width: -1, ClassName: string(m.Get(sig.ParamClass)),
 		Tenant: string(m.Get(sig.ParamTenant)), Number: string(m.Get(sig.ParamNumber)),
-		Description: m.Get(sig.ParamDescription)}
+		Description: m.Get(sig.ParamDescription), Transferable: true}
 	class, ok := r.Classes[setUp.ClassName]
 	wait, err := strconv.ParseFloat(string(m.Get(sig.ParamWait)), 64)
 	switch {
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -24,6 +24,7 @@
 	"violetspan.example/violetspan/internal/core"
 	"violetspan.example/violetspan/internal/inventory"
 	"violetspan.example/violetspan/internal/metrics"
+	"violetspan.example/violetspan/internal/peer"
 	"violetspan.example/violetspan/internal/planner"
 	"violetspan.example/violetspan/internal/platform"
 	"violetspan.example/violetspan/internal/tenant"
@@ -85,6 +86,7 @@
 	core        *core.Core
 	server      *platform.Server
 	channel     *platform.CommandChannel
+	peers       *peer.Host // nil: off
 	api         *callapi.Server
 	tenants     *tenant.Registry
 	planner     *planner.Loop // nil: off
@@ -233,10 +235,12 @@
 }
 
 // finish waits for the final answers and forwards releases until exitTime. Calls that are
-// still established then are left to the next proxy, which forwards their releases. Calls at
-// silent switches whose probes fail are ended instead: if the switch's process has exited,
+// still established then are left to the next process if a peer holds them for it. The others
+// are ended, and so are calls at silent switches whose probes fail: if the switch's process exits,
 // no release will come for them.
 func (p *Proxy) finish(serveCtx context.Context, exitTime time.Time) {
+	stopHandover := p.startHandover(serveCtx, exitTime.Add(-unverifiedCallsTime-handoverTime))
+	defer stopHandover()
 	answerDeadline := exitTime.Add(-unverifiedCallsTime)
 	if p.platform == nil { // there is no kill to anticipate
 		answerDeadline = time.Now().Add(serviceAnswerTimeout)
@@ -255,6 +259,8 @@
 	defer cancel()
 	_ = p.core.WaitForCalls(exitCtx, false) // logged below
 	p.core.EndUnverifiedCalls(exitCtx)
+	stopHandover()
+	p.endCallsNotHandedOver(exitCtx)
 	if unanswered, established := p.core.Counts(); unanswered+established > 0 {
 		p.log.Info("calls left at exit", "unanswered", unanswered, "standing", established)
 	}
@@ -310,6 +316,7 @@
 		// The listener is closed first: Server.Close waits for goroutines that end with
 		// Serve. The other order blocked every exit.
 		closers = append(closers, func() { ln.Close() }, p.server.Close)
+		p.startPeers(serveCtx, g)
 		g.Go(func() error { return p.channel.Follow(serveCtx) })
 		g.Go(func() error { return p.server.Serve(ln) })
 	}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -48,6 +48,9 @@
 		config.Clients.Rate, config.Clients.Conns = 150, 40
 	}
 	config.Clients.MinWait, config.Clients.MaxWait = config.Deadline/3, config.Deadline
+	if rng.Float64() < 0.75 {
+		config.Peers = &standin.PeerNetwork{Loss: rate(0.5, 0.4), MaxDelay: 40 * time.Millisecond}
+	}
 	return config
 }
 
@@ -235,7 +238,7 @@
 var proxyFaults = []fault{
 	{"is restarted", 5, func(tr *trial, index int, _ [3]time.Duration) { tr.reportError(tr.testbed.RestartProxy(index)) }},
 	{"is killed", 1, func(tr *trial, index int, d [3]time.Duration) {
-		tr.testbed.Proxies[index].Kill()
+		tr.testbed.KillProxy(index)
 		time.Sleep(d[0])
 		tr.reportError(tr.testbed.StartProxy(index))
 	}},
--- a/internal/standin/ledger.go
+++ b/internal/standin/ledger.go
@@ -37,7 +37,8 @@
 // callRecord is what the ledger knows about one call.
 type callRecord struct {
 	proxy         string
-	incarnation   int // incarnation of the proxy that accepted the set-up
+	incarnation   int  // incarnation of the proxy that accepted the set-up
+	proxyKilled   bool // by SIGKILL since then: no process of the proxy may know the call
 	deadline      time.Time
 	attemptSwitch string    // the switch with the outstanding attempt; "" if none
 	lastSwitch    string    // the switch of the latest attempt
@@ -50,6 +51,7 @@
 	releaseSent   bool      // the switch has sent a release to the proxy
 	notifyBy      time.Time // when the caller must have been notified of the end
 	notified      bool      // the caller was notified of the end, hung up or no longer waits
+	cut           bool      // the proxy ended the call, which neither its switch nor its caller had ended
 }
 
 // NewLedger returns an empty ledger.
@@ -244,13 +246,33 @@
 		record.notified = true
 		l.counts["ends notified"]++
 		if record.endedAt.IsZero() {
-			l.counts["released while established at the switch"]++
-		} else if late := time.Since(record.notifyDeadline()); late > 0 && (record.releaseSent || record.incarnation == current) {
+			l.countCut(record)
+		} else if late := time.Since(record.notifyDeadline()); late > 0 && (record.releaseSent || !record.proxyKilled) {
 			l.recordViolation("call %016x of %s at %s: ended %v ago, caller notified %v late", id, record.proxy, record.lastSwitch, time.Since(record.endedAt), late)
 		}
 	}
 }
 
+// SoundCallsCut is the counter of calls that a proxy ended although they were established at a switch
+// that had not ended them, and their callers had not hung up.
+const SoundCallsCut = "sound calls cut"
+
+func (l *Ledger) countCut(record *callRecord) {
+	if !record.cut {
+		record.cut = true
+		l.counts[SoundCallsCut]++
+	}
+}
+
+// ReleasedByProxy records that a switch received the proxy's release of an established call.
+func (l *Ledger) ReleasedByProxy(id uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if record := l.calls[id]; record != nil && record.established && !record.notified && record.endedAt.IsZero() {
+		l.countCut(record)
+	}
+}
+
 // HungUp records that a caller ended its call.
 func (l *Ledger) HungUp(id uint64) {
 	l.mu.Lock()
@@ -281,16 +303,32 @@
 			delete(l.drainNotified, k)
 		}
 	}
+	for _, record := range l.calls {
+		if record.proxy != proxy || record.endedAt.IsZero() {
+			continue
+		}
+		record.releaseSent = false // the previous incarnation may not have passed the release on
+		if notifyBy := record.endedAt.Add(endNotifyLimit); record.notifyBy.Before(notifyBy) {
+			record.notifyBy = notifyBy
+		}
+	}
+}
+
+// Killed records that a proxy was killed by SIGKILL, and its knowledge of its calls lost.
+func (l *Ledger) Killed(proxy string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	for _, record := range l.calls {
 		if record.proxy == proxy {
-			record.releaseSent = false // the previous incarnation may not have passed the release on
+			record.proxyKilled = true
 		}
 	}
 }
 
 // Check records violations for overdue answers and notifications. current returns the running
-// incarnation of a proxy, 0 for none. If a previous incarnation accepted a call and the switch sent
-// no release, the proxy can't know of the call's end: this is counted, but no violation.
+// incarnation of a proxy, 0 for none. If the proxy was killed after it accepted a call and the switch
+// sent no release, the proxy can't know of the call's end: this is counted, but no violation. A planned
+// restart is no excuse.
 func (l *Ledger) Check(current func(proxy string) int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -304,8 +342,8 @@
 			l.recordViolation("call %016x of %s: no answer %v after its deadline", id, record.proxy, now.Sub(record.deadline))
 		case record.established && !record.notified && !record.endedAt.IsZero() && now.After(record.notifyDeadline()):
 			record.notified = true
-			if !record.releaseSent && record.incarnation != running {
-				l.counts["ends not notified: the accepting incarnation has exited"]++
+			if !record.releaseSent && record.proxyKilled {
+				l.counts["ends not notified: the proxy was killed"]++
 				continue
 			}
 			l.recordViolation("call %016x of %s at %s: ended %v ago, caller not notified (release sent: %t)", id, record.proxy, record.lastSwitch, now.Sub(record.endedAt), record.releaseSent)
--- a/internal/standin/network_test.go
+++ b/internal/standin/network_test.go
@@ -4,6 +4,7 @@
 	"net"
 	"runtime"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 )
@@ -12,16 +13,12 @@
 // no connection, also on a busy machine, where a dial takes longer than usual.
 func TestPartitionedPortAcceptsNoConnection(t *testing.T) {
 	const ports, busyPerCPU = 60, 3
-	stop := make(chan struct{})
-	defer close(stop)
+	var stopped atomic.Bool
+	defer stopped.Store(true)
 	for range busyPerCPU * runtime.NumCPU() {
 		go func() {
-			for {
-				select {
-				case <-stop:
-					return
-				default:
-				}
+			for !stopped.Load() {
+				runtime.Gosched()
 			}
 		}()
 	}
--- a/internal/standin/testbed.go
+++ b/internal/standin/testbed.go
@@ -21,6 +21,7 @@
 	FaultRates FaultRates
 	HoldTimes  HoldTimes
 	Clients    ClientConfig // NewTestbed sets Dests, Class and Tenant
+	Peers      *PeerNetwork // nil: the proxies send each other nothing
 	Seed       uint64
 }
 
@@ -33,6 +34,7 @@
 	Clients   []*Client
 	Discovery *Discovery
 	network   int // second byte of the addresses
+	peers     *peerNetwork
 
 	mu             sync.Mutex // guards all below
 	rng            *rand.Rand
@@ -72,6 +74,7 @@
 	proxyAddresses     = 1
 	discoveryAddresses = 2 // and the following numbers, one for each move
 	switchAddresses    = 100
+	peerAddresses      = 200 // and the number of the proxy that sends there
 )
 
 // NewTestbed starts everything but the callers. It waits if maxTestbeds testbeds are running. The
@@ -83,6 +86,13 @@
 	for i := range config.Proxies {
 		tb.Proxies = append(tb.Proxies, &Process{Name: fmt.Sprintf("n%d", i), Listen: tb.address(proxyAddresses, i), Binary: config.Binary, Dir: config.Dir})
 	}
+	if config.Peers != nil {
+		var err error
+		address := func(i, j int) string { return tb.address(peerAddresses+i, j) }
+		if tb.peers, err = newPeerNetwork(*config.Peers, config.Proxies, address, tb.Ledger, config.Seed); err != nil {
+			return tb, err
+		}
+	}
 	for exchange := range config.Exchanges {
 		s, err := tb.NewSwitch(exchange)
 		if err != nil {
@@ -174,11 +184,11 @@
 // settings returns the settings of a proxy, in JSON.
 func (tb *Testbed) settings(index int) string {
 	ms := tb.Config.Deadline.Milliseconds()
-	return fmt.Sprintf(`{"fleetSize":%d,"classes":[{"name":%q,"goalTimeMs":%d,"deadlineMs":%d,"worth":1}],
+	return fmt.Sprintf(`{"ordinal":%d,"fleetSize":%d,"classes":[{"name":%q,"goalTimeMs":%d,"deadlineMs":%d,"worth":1}],
 "extra":{"here":%d,"topology":"meshed","releaseMs":500,"resendMs":0,"widths":[1],"classHoldMs":[%d]},
-"limits":{"mostTries":5,"cancel":true,"dialTimeoutMs":500,"openCap":20000},
+"limits":{"mostTries":5,"cancel":true,"dialTimeoutMs":500,"openCap":20000,"peers":true},
 "rules":{"answerSlackMs":20,"coldShare":0.29,"rampTimeMs":1000,"fallMultiple":4,"overloadForMs":2000,"drainGraceMs":500},
-"realms":[{"name":%q}]}`, tb.Config.Exchanges, className, ms/2, ms, index, (tb.Config.HoldTimes.Min+tb.Config.HoldTimes.Max).Milliseconds()/2, tenantName)
+"realms":[{"name":%q}]}`, index, tb.Config.Exchanges, className, ms/2, ms, index, (tb.Config.HoldTimes.Min+tb.Config.HoldTimes.Max).Milliseconds()/2, tenantName)
 }
 
 func (tb *Testbed) config(index int, known, channel string) string {
@@ -186,8 +196,12 @@
 	tb.mu.Lock()
 	seed := tb.rng.Uint64()
 	tb.mu.Unlock()
-	return fmt.Sprintf(`{"name":%q,"listen":%q,"seed":"%x","channel":%q,"limits":{"cores":1,"memory_mb":192,"sockets":512},"known":%s,"settings":%s}`,
-		p.Name, p.Listen, seed, channel, known, tb.settings(index))
+	peers := ""
+	if tb.peers != nil {
+		peers = tb.peers.settings(index)
+	}
+	return fmt.Sprintf(`{"name":%q,"listen":%q,"seed":"%x","channel":%q,%s"limits":{"cores":1,"memory_mb":192,"sockets":512},"known":%s,"settings":%s}`,
+		p.Name, p.Listen, seed, channel, peers, known, tb.settings(index))
 }
 
 // StartProxy starts a proxy with discovery's current list of switches.
@@ -224,9 +238,16 @@
 	return min(tb.Config.Deadline, 3*time.Second) + 700*time.Millisecond
 }
 
-// RestartProxy stops a proxy as the platform does, with SIGKILL at the earliest time, and starts it
-// again.
+// RestartProxy stops a proxy and starts it again.
 func (tb *Testbed) RestartProxy(index int) error {
+	if err := tb.StopProxy(index); err != nil {
+		return err
+	}
+	return tb.StartProxy(index)
+}
+
+// StopProxy stops a proxy as the platform does, with SIGKILL at the earliest time.
+func (tb *Testbed) StopProxy(index int) error {
 	p := tb.Proxies[index]
 	if err := p.Signal(syscall.SIGTERM); err != nil {
 		return err
@@ -235,11 +256,17 @@
 	defer kill.Stop()
 	select {
 	case <-kill.C:
+		tb.KillProxy(index)
 	case <-p.Exited():
 		tb.Ledger.Count("proxies that exited before SIGKILL")
 	}
-	p.Kill()
-	return tb.StartProxy(index)
+	return nil
+}
+
+// KillProxy kills a proxy with SIGKILL.
+func (tb *Testbed) KillProxy(index int) {
+	tb.Proxies[index].Kill()
+	tb.Ledger.Killed(tb.Proxies[index].Name)
 }
 
 // Close stops all processes and parties and returns the errors of processes that crashed.
@@ -255,6 +282,9 @@
 		c.Close()
 	}
 	tb.Discovery.Close()
+	if tb.peers != nil {
+		tb.peers.Close()
+	}
 	tb.mu.Lock()
 	defer tb.mu.Unlock()
 	for _, s := range append(tb.replaced, tb.switches...) {
--- a/internal/trunk/link.go
+++ b/internal/trunk/link.go
@@ -449,6 +449,23 @@
 	}
 }
 
+// TakeOver implements core.Link.
+func (l *Link) TakeOver(id uint64, establishedAt, lastEvidence time.Time) {
+	l.mu.Lock()
+	l.detector.InheritEvidence(lastEvidence)
+	l.setEstablished(id, true)
+	l.established[id] = establishedAt
+	now := time.Now()
+	l.apply(l.detector.Check(now), nil, now)
+}
+
+// LastEvidence implements core.Link.
+func (l *Link) LastEvidence() time.Time {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.detector.LastEvidence()
+}
+
 // answered passes an answer on. The call is recorded as established first, because it may
 // be hung up at once.
 func (l *Link) answered(s *session, id uint64, description []byte) core.AnswerStatus {
