callapi: split the server's file into server, socket and call

Change: the functions are moved, unchanged, to call.go (state of one call) and socket.go (one connection).

--- a/internal/callapi/server.go
+++ b/internal/callapi/server.go
@@ -65,42 +65,6 @@
 	u.bytes += bytes
 }
 
-// callKey identifies a call: each tenant chooses the IDs of its own calls.
-type callKey struct{ tenant, id string }
-
-// request is the content of a set-up. A repeated set-up must have the same content.
-type request struct {
-	class, number, description string
-	dest, width                int
-}
-
-// The states of a call.
-type state int
-
-const (
-	pending state = iota // no final answer yet
-	established
-	ended
-)
-
-// call is one call of a tenant. It is stored for Server.AnswerRetention after its end, even
-// if its sockets are closed, so that a client that reconnects receives the same answer.
-type call struct {
-	server *Server
-	key    callKey
-	coreID uint64
-	request
-
-	// Guarded by server.mu:
-	state       state
-	bytes       int              // counted in the stored usage
-	counted     bool             // counted in the tenant's quota
-	watchers    map[*socket]bool // open sockets that have sent its set-up
-	answer      message          // the final answer, unless pending
-	released    message          // its end, if it was established
-	undelivered bool             // released has not been queued on any socket
-}
-
 const (
 	socketQueueLen       = 256
 	writeTimeout         = 2 * time.Second
@@ -113,16 +77,6 @@
 	defaultRetryAfter    = time.Second
 )
 
-// socket is one client's connection.
-type socket struct {
-	server        *Server
-	tenant        string
-	conn          *websocket.Conn
-	queue         chan message
-	abort         context.CancelFunc // closes the connection at once
-	flushAndClose context.CancelFunc // closes the connection when the queue has been written
-}
-
 // ServeHTTP accepts a client's connection and serves it until it ends.
 func (srv *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	token, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
@@ -170,90 +124,6 @@
 	srv.Log.Debug("call API: connection ended", "tenant", id, "error", err)
 }
 
-// write sends the queued messages, and pings, until the socket is closed. A client that
-// does not read in time is disconnected, so that it delays nobody.
-func (s *socket) write(ctx, flushing context.Context) {
-	defer s.abort()
-	ping := time.NewTicker(pingInterval)
-	defer ping.Stop()
-	for {
-		var err error
-		select {
-		case m := <-s.queue:
-			err = write(ctx, s.conn, m, writeTimeout)
-		case <-ping.C:
-			pingCtx, cancel := context.WithTimeout(ctx, pingTimeout)
-			err = s.conn.Ping(pingCtx)
-			cancel()
-		case <-flushing.Done():
-			// The proxy stops: the queue may contain the only answer to a call.
-			for len(s.queue) > 0 && err == nil {
-				err = write(ctx, s.conn, <-s.queue, writeTimeout)
-			}
-			if err == nil {
-				s.conn.Close(websocket.StatusGoingAway, "the proxy stops")
-			}
-			return
-		}
-		if err != nil {
-			return
-		}
-	}
-}
-
-// enqueue queues a message. If the queue is full, the client is too slow and is
-// disconnected; it can get its answers after it has reconnected.
-func (s *socket) enqueue(m message) {
-	select {
-	case s.queue <- m:
-	default:
-		s.server.Log.Warn("call API: slow client disconnected", "tenant", s.tenant)
-		s.abort()
-	}
-}
-
-// read handles the client's messages until the connection fails or too many of them were
-// unreadable.
-func (s *socket) read(ctx context.Context) error {
-	bad := 0
-	for {
-		m, err := read(ctx, s.conn, messageTimeout)
-		receivedAt := time.Now()
-		var badMessage badMessageError
-		switch {
-		case errors.As(err, &badMessage):
-		case err != nil:
-			return err
-		case m.Type == typeSetUp:
-			err = s.server.setUp(s, m, receivedAt)
-		case m.Type == typeRelease:
-			err = s.server.release(s, m)
-		default:
-			err = badMessageError{fmt.Sprintf("type: %q is not known", m.Type)}
-		}
-		if err == nil {
-			continue
-		}
-		code := codeBadMessage
-		switch {
-		case errors.Is(err, errConflict):
-			code = codeConflict
-		case errors.Is(err, errUnknownCall):
-			code = codeUnknownCall
-		default:
-			bad++
-		}
-		s.enqueue(message{Type: typeError, Call: truncate(m.Call), Code: code, Detail: err.Error()})
-		if bad >= maxBadMessages {
-			s.server.Log.Warn("call API: too many unreadable messages", "tenant", s.tenant)
-			return err
-		}
-	}
-}
-
-// truncate limits a text of a peer to maxID bytes.
-func truncate(id string) string { return id[:min(len(id), maxID)] }
-
 var (
 	errConflict    = errors.New("the id is known with other content")
 	errUnknownCall = errors.New("no such call")
@@ -424,14 +294,6 @@
 		ts.used.calls < max(1, srv.MaxStoredCalls/tenantStorageDivisor) && ts.used.bytes < srv.MaxStoredBytes/tenantStorageDivisor
 }
 
-// addUsage changes the stored usage of the call, of its tenant and of the server. The
-// arguments may be negative. server.mu must be held.
-func (c *call) addUsage(calls, bytes int) {
-	c.bytes += bytes
-	c.server.stored.add(calls, bytes)
-	c.server.stateOf(c.key.tenant).used.add(calls, bytes)
-}
-
 // parseSetUp validates a set-up and returns its content and its wait_ms. An error names the
 // invalid field.
 func (srv *Server) parseSetUp(m message) (req request, timeout time.Duration, err error) {
@@ -486,103 +348,3 @@
 	}
 	return nil
 }
-
-func (c *call) refusedMessage(reason string, retryAfter time.Duration) message {
-	return message{Type: typeRefused, Call: c.key.id, Reason: reason, RetryAfterMs: retryAfter.Milliseconds()}
-}
-
-// setFinalAnswer stores the final answer of the call and queues it. It returns false if the
-// call already has one. server.mu must be held.
-func (c *call) setFinalAnswer(m message) bool {
-	if c.state != pending {
-		return false
-	}
-	m.Call = c.key.id
-	c.answer = m
-	c.addUsage(0, len(m.Description)+len(m.DescriptionB64)-maxDescription)
-	c.state = ended
-	if m.Type == typeAnswer {
-		c.state = established
-	} else {
-		c.scheduleRemoval()
-	}
-	for s := range c.watchers {
-		s.enqueue(m)
-	}
-	return true
-}
-
-// end ends an established call and notifies its sockets; if it has none, all sockets of the
-// tenant, or else the next one that connects. server.mu must be held.
-func (c *call) end(reason string) {
-	if c.state != established {
-		return
-	}
-	c.state = ended
-	c.released = message{Type: typeReleased, Call: c.key.id, Reason: reason}
-	recipients := c.watchers
-	if len(recipients) == 0 {
-		recipients = c.server.stateOf(c.key.tenant).sockets
-	}
-	for s := range recipients {
-		s.enqueue(c.released)
-	}
-	c.undelivered = len(recipients) == 0
-	c.scheduleRemoval()
-}
-
-// scheduleRemoval removes an ended call from the tenant's quota now, and from the storage
-// after AnswerRetention. server.mu must be held.
-func (c *call) scheduleRemoval() {
-	if c.counted {
-		c.server.Tenants.EndCall(c.key.tenant)
-	}
-	time.AfterFunc(c.server.AnswerRetention, func() {
-		c.server.mu.Lock()
-		defer c.server.mu.Unlock()
-		c.addUsage(-1, -c.bytes)
-		delete(c.server.stateOf(c.key.tenant).calls, c.key.id)
-		c.server.dropIfEmpty(c.key.tenant)
-	})
-}
-
-// errGivenUp reports to the core that the answer can't be delivered.
-var errGivenUp = errors.New("the call was given up")
-
-// Answer implements core.Caller, as do Refuse, Fail and Release.
-func (c *call) Answer(_ uint64, description []byte) error {
-	m := message{Type: typeAnswer}
-	m.setDescription(description)
-	c.server.mu.Lock()
-	defer c.server.mu.Unlock()
-	if !c.setFinalAnswer(m) {
-		return errGivenUp // for example, its last connection has just closed
-	}
-	return nil
-}
-
-// Refuse ends a pending call with the reason no_route.
-func (c *call) Refuse(_ uint64, retryAfter time.Duration) {
-	c.conclude(c.refusedMessage(reasonNoRoute, retryAfter))
-}
-
-// Fail ends a pending call with the reason fault.
-func (c *call) Fail(uint64) { c.conclude(message{Type: typeFailed, Reason: reasonFault}) }
-
-// conclude locks the server and sets the final answer.
-func (c *call) conclude(m message) {
-	c.server.mu.Lock()
-	defer c.server.mu.Unlock()
-	c.setFinalAnswer(m)
-}
-
-// Release ends an established call with the reason cut or ended.
-func (c *call) Release(_ uint64, cut bool) {
-	reason := reasonEnded
-	if cut {
-		reason = reasonCut
-	}
-	c.server.mu.Lock()
-	defer c.server.mu.Unlock()
-	c.end(reason)
-}
