Call API: a tenant that gets a removed one's id is another account

Cause: connections, stored calls and counts were looked up by the tenant's id, which can be used again. Only DELETE closed connections.

Change: an account is an id and a serial number that is never used again; everything belongs to the account. Whatever removes an account (reload, rename, DELETE) closes its connections, or does so when its last call has ended. A tenant that was disabled because it had calls, and is listed again with another token, is another one.

--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -21,14 +21,14 @@
 
 // Server serves the administration API. Every field must be set.
 type Server struct {
-	TokenHash  string // tenant.HashToken of the administrators' bearer token
-	Tenants    *tenant.Registry
-	Switches   func() []core.Switch
-	Status     func() Status
-	Reload     func() error        // reads the inventory again; an error means that nothing changed
-	Disconnect func(tenant string) // closes a deleted tenant's connections
-	Log        *slog.Logger
-	Metrics    prometheus.Gatherer // served by GET /v1/metrics
+	TokenHash string // tenant.HashToken of the administrators' bearer token
+	Tenants   *tenant.Registry
+	Switches  func() []core.Switch
+	Status    func() Status
+	Reload    func() error                   // reads the inventory again; an error means that nothing changed
+	Removed   func(tenants []tenant.Account) // called with a tenant that was deleted
+	Log       *slog.Logger
+	Metrics   prometheus.Gatherer // served by GET /v1/metrics
 }
 
 // Status is the phase of the proxy and the number of its calls.
@@ -97,10 +97,9 @@
 	api.HandleFunc("PATCH /v1/tenants/{id}", s.handle(s.updateTenant))
 	api.HandleFunc("POST /v1/tenants/{id}/token", s.handle(s.renewToken))
 	api.HandleFunc("DELETE /v1/tenants/{id}", s.handle(func(r *http.Request) (int, any, error) {
-		id := r.PathValue("id")
-		err := s.Tenants.Delete(id)
+		account, err := s.Tenants.Delete(r.PathValue("id"))
 		if err == nil {
-			s.Disconnect(id)
+			s.Removed([]tenant.Account{account})
 		}
 		return http.StatusNoContent, nil, err
 	}))
--- a/internal/callapi/call.go
+++ b/internal/callapi/call.go
@@ -3,10 +3,15 @@
 import (
 	"errors"
 	"time"
+
+	"violetspan.example/violetspan/internal/tenant"
 )
 
 // callKey identifies a call: each tenant chooses the IDs of its own calls.
-type callKey struct{ tenant, id string }
+type callKey struct {
+	tenant tenant.Account
+	id     string
+}
 
 // request is the content of a set-up. A repeated set-up must have the same content.
 type request struct {
@@ -71,6 +76,7 @@
 	for s := range c.watchers {
 		s.enqueue(m)
 	}
+	c.server.stateOf(c.key.tenant).closeIfRemoved()
 	return true
 }
 
@@ -91,6 +97,7 @@
 	}
 	c.undelivered = len(recipients) == 0
 	c.scheduleRemoval()
+	c.server.stateOf(c.key.tenant).closeIfRemoved()
 }
 
 // scheduleRemoval removes an ended call from the tenant's quota now, and from the storage
--- a/internal/callapi/server.go
+++ b/internal/callapi/server.go
@@ -43,7 +43,7 @@
 	Destinations    int           // number of destinations; the highest dest is one less
 
 	mu          sync.Mutex
-	tenants     map[string]*tenantState // by tenant ID
+	tenants     map[tenant.Account]*tenantState
 	stored      usage                   // of all tenants
 	closed      bool
 	connections sync.WaitGroup // open connections; added to under mu, and only while closed is false
@@ -55,6 +55,7 @@
 	calls   map[string]*call // by the tenant's call ID
 	sockets map[*socket]bool
 	used    usage
+	removed bool // the tenant was removed; its sockets stay open for the ends of its calls only
 }
 
 // usage is the number of stored calls and the size of their descriptions in bytes.
@@ -80,23 +81,23 @@
 // ServeHTTP accepts a client's connection and serves it until it ends.
 func (srv *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	token, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
-	id, known := "", false
+	account, known := tenant.Account{}, false
 	if ok {
-		id, known = srv.Tenants.Authenticate(token)
+		account, known = srv.Tenants.Authenticate(token)
 	}
 	if !known {
 		w.Header().Set("WWW-Authenticate", "Bearer")
 		http.Error(w, "a valid bearer token is wanted", http.StatusUnauthorized)
 		return
 	}
-	if err := srv.Tenants.Connect(id); err != nil {
+	if err := srv.Tenants.Connect(account); err != nil {
 		http.Error(w, err.Error(), http.StatusTooManyRequests)
 		return
 	}
-	defer srv.Tenants.Disconnect(id)
+	defer srv.Tenants.Disconnect(account)
 	conn, err := websocket.Accept(w, r, &websocket.AcceptOptions{Subprotocols: []string{Protocol}})
 	if err != nil {
-		srv.Log.Warn("call API: WebSocket handshake failed", "tenant", id, "error", err)
+		srv.Log.Warn("call API: WebSocket handshake failed", "tenant", account.ID, "error", err)
 		return
 	}
 	defer conn.CloseNow()
@@ -109,9 +110,9 @@
 	defer cancel()
 	flushing, flush := context.WithCancel(ctx)
 	defer flush()
-	s := &socket{server: srv, tenant: id, conn: conn, queue: make(chan message, socketQueueLen), abort: cancel, flushAndClose: flush}
-	if !srv.addSocket(s) {
-		conn.Close(websocket.StatusGoingAway, "the proxy stops")
+	s := &socket{server: srv, tenant: account, conn: conn, queue: make(chan message, socketQueueLen), abort: cancel, flushAndClose: flush}
+	if reason := srv.addSocket(s); reason != "" {
+		conn.Close(websocket.StatusGoingAway, reason)
 		return
 	}
 	defer srv.connections.Done()
@@ -121,7 +122,7 @@
 	srv.removeSocket(s)
 	cancel()
 	wg.Wait()
-	srv.Log.Debug("call API: connection ended", "tenant", id, "error", err)
+	srv.Log.Debug("call API: connection ended", "tenant", account.ID, "error", err)
 }
 
 var (
@@ -129,13 +130,22 @@
 	errUnknownCall = errors.New("no such call")
 )
 
-// addSocket adds a socket and queues on it the ends that no socket has received. It returns
-// false if the server is closed.
-func (srv *Server) addSocket(s *socket) bool {
+// Reasons that clients receive when the server closes their connection.
+const (
+	closeReasonStopping = "the proxy stops"
+	closeReasonRemoved  = "the tenant was removed"
+)
+
+// addSocket adds a socket and queues on it the ends that no socket has received. If the server is
+// closed, or the tenant was removed since it authenticated, it adds nothing and returns the reason.
+func (srv *Server) addSocket(s *socket) (closeReason string) {
 	srv.mu.Lock()
 	defer srv.mu.Unlock()
 	if srv.closed {
-		return false
+		return closeReasonStopping
+	}
+	if !srv.Tenants.Exists(s.tenant) {
+		return closeReasonRemoved
 	}
 	srv.connections.Add(1)
 	ts := srv.stateOf(s.tenant)
@@ -146,25 +156,25 @@
 			s.enqueue(c.released)
 		}
 	}
-	return true
+	return ""
 }
 
 // stateOf returns the state of a tenant, and creates it if there is none. srv.mu must be
 // held.
-func (srv *Server) stateOf(tenant string) *tenantState {
+func (srv *Server) stateOf(account tenant.Account) *tenantState {
 	if srv.tenants == nil {
-		srv.tenants = map[string]*tenantState{}
+		srv.tenants = map[tenant.Account]*tenantState{}
 	}
-	if srv.tenants[tenant] == nil {
-		srv.tenants[tenant] = &tenantState{calls: map[string]*call{}, sockets: map[*socket]bool{}}
+	if srv.tenants[account] == nil {
+		srv.tenants[account] = &tenantState{calls: map[string]*call{}, sockets: map[*socket]bool{}}
 	}
-	return srv.tenants[tenant]
+	return srv.tenants[account]
 }
 
 // dropIfEmpty removes the state of a tenant without calls and sockets. srv.mu must be held.
-func (srv *Server) dropIfEmpty(tenant string) {
-	if ts := srv.tenants[tenant]; ts != nil && len(ts.calls) == 0 && len(ts.sockets) == 0 {
-		delete(srv.tenants, tenant)
+func (srv *Server) dropIfEmpty(account tenant.Account) {
+	if ts := srv.tenants[account]; ts != nil && len(ts.calls) == 0 && len(ts.sockets) == 0 {
+		delete(srv.tenants, account)
 	}
 }
 
@@ -192,17 +202,34 @@
 	}
 }
 
-// Disconnect closes a tenant's connections.
-func (srv *Server) Disconnect(tenant string) {
+// RemoveTenants closes the connections of tenants that were removed, at once or when the last of their
+// calls has ended. Their stored calls belong to accounts that nobody can authenticate as any more.
+func (srv *Server) RemoveTenants(removed []tenant.Account) {
 	srv.mu.Lock()
 	defer srv.mu.Unlock()
-	if ts := srv.tenants[tenant]; ts != nil {
-		for s := range ts.sockets {
-			s.abort()
+	for _, account := range removed {
+		if ts := srv.tenants[account]; ts != nil {
+			ts.removed = true
+			ts.closeIfRemoved()
 		}
 	}
 }
 
+// closeIfRemoved closes the sockets of a removed tenant that has no call left. The server's lock is held.
+func (ts *tenantState) closeIfRemoved() {
+	if !ts.removed {
+		return
+	}
+	for _, c := range ts.calls {
+		if c.state != ended {
+			return
+		}
+	}
+	for s := range ts.sockets {
+		s.closeAfterFlush(closeReasonRemoved)
+	}
+}
+
 // Close closes every connection when its queue has been written, and waits for that for
 // up to closeTimeout. It ends established calls: after the exit no process could notify
 // their clients of their end.
@@ -218,7 +245,7 @@
 			}
 		}
 		for s := range ts.sockets {
-			s.flushAndClose()
+			s.closeAfterFlush(closeReasonStopping)
 		}
 	}
 	srv.mu.Unlock()
@@ -279,7 +306,7 @@
 		return nil
 	}
 	c.counted = true
-	err = srv.Handler.Offer(&core.SetUp{ID: c.coreID, Class: srv.Classes[req.class].Index, ClassName: req.class, Tenant: s.tenant,
+	err = srv.Handler.Offer(&core.SetUp{ID: c.coreID, Class: srv.Classes[req.class].Index, ClassName: req.class, Tenant: s.tenant.ID,
 		Number: req.number, Description: []byte(req.description), Dest: req.dest, Width: req.width, Deadline: receivedAt.Add(timeout)}, c)
 	if err != nil {
 		c.setFinalAnswer(c.refusedMessage(reasonOverload, defaultRetryAfter))
--- a/internal/callapi/server_test.go
+++ b/internal/callapi/server_test.go
@@ -173,7 +173,8 @@
 		}
 	}
 	srv.mu.Lock()
-	srv.stateOf("acme").used = usage{1, srv.MaxStoredBytes / tenantStorageDivisor}
+	acme, _ := srv.Tenants.Authenticate("acme-token")
+	srv.stateOf(acme).used = usage{1, srv.MaxStoredBytes / tenantStorageDivisor}
 	srv.mu.Unlock()
 	for range 6 { // three answers and three releases
 		if _, err := read(t.Context(), c, time.Minute); err != nil {
--- a/internal/callapi/socket.go
+++ b/internal/callapi/socket.go
@@ -7,16 +7,28 @@
 	"time"
 
 	"github.com/coder/websocket"
+
+	"violetspan.example/violetspan/internal/tenant"
 )
 
 // socket is one client's connection.
 type socket struct {
 	server        *Server
-	tenant        string
+	tenant        tenant.Account
 	conn          *websocket.Conn
 	queue         chan message
 	abort         context.CancelFunc // closes the connection at once
 	flushAndClose context.CancelFunc // closes the connection when the queue has been written
+	closeReason   string             // set before flushAndClose is called; guarded by server.mu until then
+}
+
+// closeAfterFlush closes the connection when the queue has been written; the client receives the reason.
+// The server's lock is held.
+func (s *socket) closeAfterFlush(reason string) {
+	if s.closeReason == "" {
+		s.closeReason = reason
+		s.flushAndClose()
+	}
 }
 
 // write sends the queued messages, and pings, until the socket is closed. A client that
@@ -35,12 +47,12 @@
 			err = s.conn.Ping(pingCtx)
 			cancel()
 		case <-flushing.Done():
-			// The proxy stops: the queue may contain the only answer to a call.
+			// The queue may contain the only answer to a call.
 			for len(s.queue) > 0 && err == nil {
 				err = write(ctx, s.conn, <-s.queue, writeTimeout)
 			}
 			if err == nil {
-				s.conn.Close(websocket.StatusGoingAway, "the proxy stops")
+				s.conn.Close(websocket.StatusGoingAway, s.closeReason)
 			}
 			return
 		}
@@ -56,7 +68,7 @@
 	select {
 	case s.queue <- m:
 	default:
-		s.server.Log.Warn("call API: slow client disconnected", "tenant", s.tenant)
+		s.server.Log.Warn("call API: slow client disconnected", "tenant", s.tenant.ID)
 		s.abort()
 	}
 }
@@ -94,7 +106,7 @@
 		}
 		s.enqueue(message{Type: typeError, Call: truncate(m.Call), Code: code, Detail: err.Error()})
 		if bad >= maxBadMessages {
-			s.server.Log.Warn("call API: too many unreadable messages", "tenant", s.tenant)
+			s.server.Log.Warn("call API: too many unreadable messages", "tenant", s.tenant.ID)
 			return err
 		}
 	}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -345,7 +345,7 @@
 		closers = append(closers, p.api.Close, closeServer)
 		if serviceConfig.AdminListen != "" {
 			adminServer := &admin.Server{TokenHash: serviceConfig.AdminTokenHash, Tenants: p.tenants, Switches: p.core.Switches,
-				Status: p.status, Reload: p.reloadInventory, Disconnect: p.api.Disconnect, Log: p.log, Metrics: p.metrics.Gatherer()}
+				Status: p.status, Reload: p.reloadInventory, Removed: p.api.RemoveTenants, Log: p.log, Metrics: p.metrics.Gatherer()}
 			addr, closeServer, err := p.listenHTTP(serveCtx, g, "admin.listen", serviceConfig.AdminListen, maxAdminConns, adminServer.Handler())
 			if err != nil {
 				return stop, err
@@ -481,7 +481,9 @@
 	if err != nil {
 		return err
 	}
-	if err := p.tenants.Seed(inv.Tenants); err != nil {
+	removed, err := p.tenants.Seed(inv.Tenants)
+	p.api.RemoveTenants(removed)
+	if err != nil {
 		return fmt.Errorf("%s: %w", p.service.Inventory, err)
 	}
 	p.cert.Store(cert)
--- a/internal/proxy/service_test.go
+++ b/internal/proxy/service_test.go
@@ -24,6 +24,7 @@
 	"violetspan.example/violetspan/internal/callapi"
 	"violetspan.example/violetspan/internal/config"
 	"violetspan.example/violetspan/internal/planner"
+	"violetspan.example/violetspan/internal/tenant"
 )
 
 // do sends a request to the administration API and returns the status and the body.
@@ -136,6 +137,104 @@
 		w1< {"type":"released","call":"a","reason":"ended"}`)
 }
 
+// Guards against a removed tenant that acts as the next one of its id: its connection goes on, hears of
+// the other's calls and ends them, or its stored answers are given to the other's calls.
+func TestRemovedTenantIsNotTheNextOfItsID(t *testing.T) {
+	const firstCall = `
+		w1> {"type":"setup","call":"a","class":"space-check","number":"1","dest":1,"wait_ms":9000}
+		x1< {"type":"setup","call":"{first}","class":"space-check","number":"1","dest":1,"width":1,"wait_ms":0}
+		x1> {"type":"answer","call":"{first}","description":"of the first"}
+		w1< {"type":"answer","call":"a","description":"of the first"}`
+	const firstEnds = `
+		x1> {"type":"released","call":"{first}","reason":"ended"}
+		w1< {"type":"released","call":"a","reason":"ended"}`
+	for name, c := range map[string]struct {
+		tenants     string // the inventory in between
+		apiTenant   bool   // the first tenant was created by the administration API, and is deleted there
+		duringACall bool
+	}{
+		"removed from the inventory":                {"other: {token_sha256: " + tenant.HashToken("o") + "}", false, false},
+		"renamed in the inventory":                  {"acme2: {token_sha256: " + tenant.HashToken(testToken) + "}", false, false},
+		"deleted by the API":                        {"", true, false},
+		"removed from the inventory, during a call": {"other: {token_sha256: " + tenant.HashToken("o") + "}", false, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := start(t, "\nx1", settingsJSON)
+			id := "acme"
+			if c.apiTenant {
+				id = "firm"
+				s.connectClient("w1", s.createTenant(id))
+			}
+			s.play(firstCall)
+			if !c.duringACall {
+				s.play(firstEnds)
+			}
+			if c.apiTenant {
+				if status, got := s.do("DELETE", "/v1/tenants/firm", testToken, ""); status != 204 {
+					t.Fatalf("got %d %s", status, got)
+				}
+				s.connectClient("v1", s.createTenant(id))
+			} else {
+				s.reloadTenants(c.tenants)
+				s.reloadTenants("acme: {token_sha256: " + tenant.HashToken("second firm's token") + "}")
+				s.connectClient("v1", "second firm's token")
+			}
+			if c.duringACall {
+				s.play(firstEnds)
+			}
+			ctx, cancel := context.WithTimeout(t.Context(), testTimeout)
+			defer cancel()
+			if _, _, err := s.clients["w1"].Read(ctx); websocket.CloseStatus(err) != websocket.StatusGoingAway {
+				t.Errorf("the first tenant's connection: %v, want a close that says 'going away'", err)
+			}
+			s.play(`
+		v1> {"type":"setup","call":"a","class":"space-check","number":"1","dest":1,"wait_ms":9000}
+		x1< {"type":"setup","call":"{second}","class":"space-check","number":"1","dest":1,"width":1,"wait_ms":0}
+		x1> {"type":"answer","call":"{second}","description":"of the second"}
+		v1< {"type":"answer","call":"a","description":"of the second"}`)
+		})
+	}
+}
+
+// createTenant creates a tenant by the administration API and returns its token.
+func (s *script) createTenant(id string) string {
+	s.t.Helper()
+	status, body := s.do("POST", "/v1/tenants", testToken, `{"id":"`+id+`"}`)
+	_, token, found := strings.Cut(body, `"token":"`)
+	if status != 201 || !found {
+		s.t.Fatalf("got %d %s", status, body)
+	}
+	return strings.TrimSuffix(token, `"}`)
+}
+
+// connectClient opens the connection of a client of the call API.
+func (s *script) connectClient(name, token string) {
+	s.t.Helper()
+	c, _, err := dialAPI(s.t.Context(), s.proxy, token)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	s.clients[name] = c
+}
+
+// reloadTenants replaces the tenants of the inventory by one line, and reloads it.
+func (s *script) reloadTenants(line string) {
+	s.t.Helper()
+	b, err := os.ReadFile(s.proxy.service.Inventory)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	const section = "    tenants:\n      hosts:\n"
+	before, _, _ := strings.Cut(string(b), section)
+	if err := os.WriteFile(s.proxy.service.Inventory, []byte(before+section+"        "+line+"\n"), 0o600); err != nil {
+		s.t.Fatal(err)
+	}
+	if status, got := s.do("POST", "/v1/inventory/reload", testToken, ""); status != 204 {
+		s.t.Fatalf("got %d %s", status, got)
+	}
+}
+
 func TestWrongTokenAndProtocol(t *testing.T) {
 	t.Parallel()
 	s := start(t, "\ns1", settingsJSON)
--- a/internal/tenant/tenant.go
+++ b/internal/tenant/tenant.go
@@ -27,6 +27,13 @@
 	TokenSHA256    string  `json:"-"`                // hex; the token itself is not stored
 }
 
+// Account identifies one tenant for as long as it exists. A tenant that gets the ID of one that was
+// removed has another Serial: it is another customer's.
+type Account struct {
+	ID     string
+	Serial uint64
+}
+
 // View is a tenant with its usage, as the administration API returns it.
 type View struct {
 	Spec
@@ -61,7 +68,9 @@
 // one, limits its call rate.
 type record struct {
 	Spec
+	serial         uint64
 	origin         string
+	unlisted       bool // it left the inventory while it had calls
 	calls, sockets int
 	bucketLevel    float64
 	lastRefill     time.Time
@@ -70,10 +79,11 @@
 // Registry is the set of tenants. It is safe for concurrent use. The zero value is
 // not usable; see New.
 type Registry struct {
-	mu      sync.Mutex
-	tenants map[string]*record
-	tokens  map[string]*record // by the token's hash
-	now     func() time.Time
+	mu         sync.Mutex
+	tenants    map[string]*record
+	tokens     map[string]*record // by the token's hash
+	lastSerial uint64
+	now        func() time.Time
 }
 
 // New returns an empty registry that reads the time from now.
@@ -128,9 +138,25 @@
 	if len(r.tenants) >= maxTenants {
 		return fmt.Errorf("more than %d tenants", maxTenants)
 	}
-	return r.store(&record{Spec: s, origin: origin})
+	return r.store(r.newRecord(s, origin))
+}
+
+// newRecord returns the record of a new account. r.mu must be held.
+func (r *Registry) newRecord(s Spec, origin string) *record {
+	r.lastSerial++
+	return &record{Spec: s, serial: r.lastSerial, origin: origin}
+}
+
+// lookUp returns the record of an account, or nil if it was removed. r.mu must be held.
+func (r *Registry) lookUp(account Account) *record {
+	if t := r.tenants[account.ID]; t != nil && t.serial == account.Serial {
+		return t
+	}
+	return nil
 }
 
+func (t *record) account() Account { return Account{t.ID, t.serial} }
+
 // store adds or replaces a record whose spec has been validated. r.mu must be held.
 func (r *Registry) store(t *record) error {
 	if other := r.tokens[t.TokenSHA256]; other != nil && other.ID != t.ID {
@@ -167,19 +193,19 @@
 	return next.view(), nil
 }
 
-// Delete removes a tenant. It returns ErrInUse if the tenant has calls.
-func (r *Registry) Delete(id string) error {
+// Delete removes a tenant and returns its account. It returns ErrInUse if the tenant has calls.
+func (r *Registry) Delete(id string) (Account, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	t := r.tenants[id]
 	if t == nil {
-		return ErrUnknown
+		return Account{}, ErrUnknown
 	}
 	if t.calls > 0 {
-		return ErrInUse
+		return Account{}, ErrInUse
 	}
 	r.remove(t)
-	return nil
+	return t.account(), nil
 }
 
 func (r *Registry) remove(t *record) {
@@ -213,77 +239,97 @@
 
 // Seed applies the tenants of the inventory; on an error it changes nothing. Listed
 // tenants are created or updated. Tenants of an earlier inventory that are no longer
-// listed are removed, or disabled if they have calls. Tenants created through the API
-// are not changed.
-func (r *Registry) Seed(specs []Spec) error {
+// listed are removed, or disabled if they have calls. One that was disabled in this way is listed
+// again as itself if it has its token; with another token it is another customer's, and a new account.
+// Tenants created through the API are not changed. Seed returns the accounts that it removed.
+func (r *Registry) Seed(specs []Spec) (removed []Account, err error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	specByID := map[string]Spec{}
+	specByID, err := r.checkSeed(specs)
+	if err != nil {
+		return nil, err
+	}
 	idByToken := map[string]string{}
-	for _, s := range specs {
-		if err := s.Check(); err != nil {
-			return fmt.Errorf("tenant %q: %w", s.ID, err)
-		}
-		t := r.tenants[s.ID]
-		if t != nil && t.origin == OriginAPI {
-			return fmt.Errorf("tenant %q: %w, made through the API", s.ID, ErrExists)
-		}
-		if other, found := idByToken[s.TokenSHA256]; found {
-			return fmt.Errorf("tenant %q: %w: %q", s.ID, ErrTokenInUse, other)
-		}
-		if holder := r.tokens[s.TokenSHA256]; holder != nil && holder.origin == OriginAPI {
-			return fmt.Errorf("tenant %q: %w", s.ID, ErrTokenInUse)
-		}
-		specByID[s.ID], idByToken[s.TokenSHA256] = s, s.ID
+	for id, s := range specByID {
+		idByToken[s.TokenSHA256] = id
 	}
 	for id, t := range r.tenants {
 		if t.origin == OriginAPI {
 			continue
 		}
 		delete(r.tokens, t.TokenSHA256) // added again below: two tenants may have swapped tokens
-		if _, listed := specByID[id]; listed {
-			continue
-		}
-		if t.calls > 0 {
-			t.Disabled = true
+		s, listed := specByID[id]
+		switch {
+		case listed && t.unlisted && s.TokenSHA256 != t.TokenSHA256, !listed && t.calls == 0:
+			delete(r.tenants, id)
+			removed = append(removed, t.account())
+		case !listed:
+			t.Disabled, t.unlisted = true, true
 			if _, taken := idByToken[t.TokenSHA256]; !taken {
 				r.tokens[t.TokenSHA256] = t
 			}
-		} else {
-			delete(r.tenants, id)
 		}
 	}
 	for id, s := range specByID {
-		next := record{origin: OriginInventory}
+		next := r.newRecord(s, OriginInventory)
 		if t := r.tenants[id]; t != nil {
-			next = *t
+			*next = *t
+			next.Spec, next.unlisted = s, false
 		}
-		next.Spec = s
-		if err := r.store(&next); err != nil {
-			return fmt.Errorf("tenant %q: %w", id, err)
+		if err := r.store(next); err != nil {
+			return removed, fmt.Errorf("tenant %q: %w", id, err)
 		}
 	}
-	return nil
+	return removed, nil
+}
+
+// checkSeed validates the tenants of an inventory and returns them by their IDs. r.mu must be held.
+func (r *Registry) checkSeed(specs []Spec) (map[string]Spec, error) {
+	specByID := map[string]Spec{}
+	idByToken := map[string]string{}
+	for _, s := range specs {
+		if err := s.Check(); err != nil {
+			return nil, fmt.Errorf("tenant %q: %w", s.ID, err)
+		}
+		if t := r.tenants[s.ID]; t != nil && t.origin == OriginAPI {
+			return nil, fmt.Errorf("tenant %q: %w, made through the API", s.ID, ErrExists)
+		}
+		if other, found := idByToken[s.TokenSHA256]; found {
+			return nil, fmt.Errorf("tenant %q: %w: %q", s.ID, ErrTokenInUse, other)
+		}
+		if holder := r.tokens[s.TokenSHA256]; holder != nil && holder.origin == OriginAPI {
+			return nil, fmt.Errorf("tenant %q: %w", s.ID, ErrTokenInUse)
+		}
+		specByID[s.ID], idByToken[s.TokenSHA256] = s, s.ID
+	}
+	return specByID, nil
 }
 
-// Authenticate returns the ID of the tenant with the given bearer token. Tokens are
+// Authenticate returns the account of the tenant with the given bearer token. Tokens are
 // looked up by their hashes, so the lookup time reveals nothing about them.
-func (r *Registry) Authenticate(token string) (string, bool) {
+func (r *Registry) Authenticate(token string) (Account, bool) {
 	hash := HashToken(token)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if t := r.tokens[hash]; t != nil {
-		return t.ID, true
+		return t.account(), true
 	}
-	return "", false
+	return Account{}, false
+}
+
+// Exists reports whether an account has not been removed.
+func (r *Registry) Exists(account Account) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.lookUp(account) != nil
 }
 
 // Connect counts a new connection of a tenant. It returns ErrQuota if the tenant has
-// too many.
-func (r *Registry) Connect(id string) error {
+// too many, and ErrUnknown if it was removed.
+func (r *Registry) Connect(account Account) error {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	t := r.tenants[id]
+	t := r.lookUp(account)
 	if t == nil {
 		return ErrUnknown
 	}
@@ -299,10 +345,10 @@
 }
 
 // Disconnect removes a closed connection from the tenant's count.
-func (r *Registry) Disconnect(id string) {
+func (r *Registry) Disconnect(account Account) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if t := r.tenants[id]; t != nil && t.sockets > 0 {
+	if t := r.lookUp(account); t != nil && t.sockets > 0 {
 		t.sockets--
 	}
 }
@@ -310,10 +356,10 @@
 // BeginCall counts a new call of a tenant. It returns ErrUnknown, ErrDisabled or ErrQuota
 // if the call is not allowed; retryAfter is then the time until a retry can succeed, or 0
 // if that is not known.
-func (r *Registry) BeginCall(id string) (retryAfter time.Duration, err error) {
+func (r *Registry) BeginCall(account Account) (retryAfter time.Duration, err error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	t := r.tenants[id]
+	t := r.lookUp(account)
 	switch {
 	case t == nil:
 		return 0, ErrUnknown
@@ -336,10 +382,10 @@
 }
 
 // EndCall removes an ended call from the tenant's count.
-func (r *Registry) EndCall(id string) {
+func (r *Registry) EndCall(account Account) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if t := r.tenants[id]; t != nil && t.calls > 0 {
+	if t := r.lookUp(account); t != nil && t.calls > 0 {
 		t.calls--
 	}
 }
--- a/internal/tenant/tenant_test.go
+++ b/internal/tenant/tenant_test.go
@@ -11,15 +11,29 @@
 func spec(id, token string) Spec { return Spec{ID: id, TokenSHA256: HashToken(token)} }
 
 func tenantOf(r *Registry, token string) string {
-	id, _ := r.Authenticate(token)
-	return id
+	account, _ := r.Authenticate(token)
+	return account.ID
+}
+
+// seed applies an inventory and returns the ids of the accounts that it removed.
+func seed(t *testing.T, r *Registry, specs ...Spec) (removed []string) {
+	t.Helper()
+	accounts, err := r.Seed(specs)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, account := range accounts {
+		removed = append(removed, account.ID)
+	}
+	return removed
 }
 
 func TestSeedIsAllOrNothing(t *testing.T) {
 	r := New(time.Now)
-	if err := errors.Join(r.Create(spec("api", "k"), OriginAPI), r.Seed([]Spec{spec("a", "ta"), spec("b", "tb")})); err != nil {
+	if err := r.Create(spec("api", "k"), OriginAPI); err != nil {
 		t.Fatal(err)
 	}
+	seed(t, r, spec("a", "ta"), spec("b", "tb"))
 	for name, bad := range map[string][]Spec{
 		"an ID of an API tenant":     {spec("c", "tc"), spec("api", "x")},
 		"a token of an API tenant":   {spec("c", "tc"), spec("d", "k")},
@@ -28,7 +42,7 @@
 		"a token that is not a hash": {spec("c", "tc"), {ID: "d", TokenSHA256: "x"}},
 	} {
 		before := r.All()
-		if err := r.Seed(bad); err == nil {
+		if _, err := r.Seed(bad); err == nil {
 			t.Errorf("%s: no error", name)
 		}
 		if diff := cmp.Diff(before, r.All()); diff != "" || tenantOf(r, "tc") != "" || tenantOf(r, "ta") != "a" {
@@ -42,29 +56,69 @@
 func TestSeedSwapsTokensAndDisablesWhatIsInUse(t *testing.T) {
 	r := New(time.Now)
 	for range 20 { // map iteration order varies
-		if err := r.Seed([]Spec{spec("a", "1"), spec("b", "2"), spec("c", "3")}); err != nil {
-			t.Fatal(err)
-		}
-		if err := r.Seed([]Spec{spec("a", "2"), spec("b", "1"), spec("c", "3")}); err != nil {
-			t.Fatal(err)
-		}
+		seed(t, r, spec("a", "1"), spec("b", "2"), spec("c", "3"))
+		seed(t, r, spec("a", "2"), spec("b", "1"), spec("c", "3"))
 		if got := tenantOf(r, "1") + tenantOf(r, "2"); got != "ba" {
 			t.Fatalf("tokens 1 and 2 are %q, want b and a", got)
 		}
 	}
-	r.BeginCall("c")
-	if err := r.Seed([]Spec{spec("a", "1")}); err != nil {
-		t.Fatal(err)
+	c, _ := r.Authenticate("3")
+	r.BeginCall(c)
+	if diff := cmp.Diff([]string{"b"}, seed(t, r, spec("a", "1"))); diff != "" {
+		t.Errorf("removed (-want +got):\n%s", diff)
 	}
-	if _, err := r.BeginCall("c"); !errors.Is(err, ErrDisabled) {
+	if _, err := r.BeginCall(c); !errors.Is(err, ErrDisabled) {
 		t.Errorf("tenant in use, no longer in the inventory: got %v, want it disabled", err)
 	}
 	if _, err := r.Get("b"); !errors.Is(err, ErrUnknown) {
 		t.Errorf("unused tenant, no longer in the inventory: got %v, want it removed", err)
 	}
-	r.EndCall("c")
-	if err := r.Seed(nil); err != nil || len(r.All()) != 0 {
-		t.Errorf("remaining tenants: %v, %v", r.All(), err)
+	r.EndCall(c)
+	if removed := seed(t, r); len(removed) != 2 || len(r.All()) != 0 {
+		t.Errorf("removed %v, remaining tenants: %v", removed, r.All())
+	}
+}
+
+// Guards against a tenant that acts as another customer's: an id may be used again after its tenant was
+// removed, renamed or disabled, and what is left of the former one must not count for the new one.
+func TestAnIDThatIsUsedAgainIsAnotherAccount(t *testing.T) {
+	for name, c := range map[string]struct {
+		inBetween []Spec // the inventory between that of the former and of the new tenant
+		withCall  bool   // the former tenant has a call meanwhile
+		again     Spec
+		same      bool
+	}{
+		"removed":                              {nil, false, spec("a", "new"), false},
+		"removed, the same token":              {nil, false, spec("a", "old"), false},
+		"renamed":                              {[]Spec{spec("b", "old")}, false, spec("a", "new"), false},
+		"disabled, with calls":                 {nil, true, spec("a", "new"), false},
+		"disabled and listed again":            {nil, true, spec("a", "old"), true},
+		"never removed, with another token":    {[]Spec{spec("a", "old")}, false, spec("a", "new"), true},
+		"never removed, its token is replaced": {[]Spec{spec("a", "new")}, true, spec("a", "new"), true},
+	} {
+		r := New(time.Now)
+		seed(t, r, spec("a", "old"))
+		former, _ := r.Authenticate("old")
+		if c.withCall {
+			r.BeginCall(former)
+		}
+		seed(t, r, c.inBetween...)
+		seed(t, r, c.again)
+		account, _ := r.Authenticate(map[bool]string{true: "old", false: "new"}[c.again == spec("a", "old")])
+		if account.ID != "a" || (account == former) != c.same || r.Exists(former) != c.same {
+			t.Errorf("%s: account %v, the former one is %v and exists: %t", name, account, former, r.Exists(former))
+		}
+		if c.same {
+			continue
+		}
+		r.BeginCall(account)
+		r.EndCall(former) // of the former tenant's call
+		if view, _ := r.Get("a"); view.Calls != 1 {
+			t.Errorf("%s: %d calls of the new tenant, want 1", name, view.Calls)
+		}
+		if _, err := r.BeginCall(former); !errors.Is(err, ErrUnknown) {
+			t.Errorf("%s: a call of the former tenant: %v", name, err)
+		}
 	}
 }
 
@@ -76,9 +130,10 @@
 	if err := r.Create(s, OriginAPI); err != nil {
 		t.Fatal(err)
 	}
+	a, _ := r.Authenticate("t")
 	begin := func(want error, retryAfter time.Duration) {
 		t.Helper()
-		if got, err := r.BeginCall("a"); !errors.Is(err, want) || got != retryAfter {
+		if got, err := r.BeginCall(a); !errors.Is(err, want) || got != retryAfter {
 			t.Errorf("got %v and %v, want %v and %v", err, got, want, retryAfter)
 		}
 	}
@@ -89,12 +144,12 @@
 	begin(nil, 0)
 	now = now.Add(time.Second)
 	begin(ErrQuota, 0) // three concurrent calls
-	r.EndCall("a")
+	r.EndCall(a)
 	begin(nil, 0)
-	if err := r.Delete("a"); !errors.Is(err, ErrInUse) {
+	if _, err := r.Delete("a"); !errors.Is(err, ErrInUse) {
 		t.Errorf("deleted while in use: %v", err)
 	}
-	if err := errors.Join(r.Connect("a"), r.Connect("a")); !errors.Is(err, ErrQuota) {
+	if err := errors.Join(r.Connect(a), r.Connect(a)); !errors.Is(err, ErrQuota) {
 		t.Errorf("two connections: %v", err)
 	}
 	if _, err := r.Update("a", func(s *Spec) { s.MaxCalls = -1 }); err == nil {
