Call API: bound a client's queue by bytes and time, and keep ends that were not written

Cause: the queue held 256 messages, and a full one was taken for a client that does not read. Ends are queued in one loop, while the connection's writer can't run. The queue was thrown away with the connection, and what was in it had been marked as delivered.

Change: a client is slow if it does not take bytes: 2 s for a write, 5 s for a message in the queue, 1 MiB in it, half of the bytes for stored calls in all queues together. An end counts as delivered when it was written, and is otherwise announced on another connection. A client that sends and does not read is not read beyond 256 replies.

--- a/internal/callapi/call.go
+++ b/internal/callapi/call.go
@@ -37,13 +37,14 @@
 	request
 
 	// Guarded by server.mu:
-	state       state
-	bytes       int              // counted in the stored usage
-	counted     bool             // counted in the tenant's quota
-	watchers    map[*socket]bool // open sockets that have sent its set-up
-	answer      message          // the final answer, unless pending
-	released    message          // its end, if it was established
-	undelivered bool             // released has not been queued on any socket
+	state      state
+	bytes      int              // counted in the stored usage
+	counted    bool             // counted in the tenant's quota
+	watchers   map[*socket]bool // open sockets that have sent its set-up
+	answer     message          // the final answer, unless pending
+	released   message          // its end, if it was established
+	endsQueued int              // sockets on which released is queued and not written yet
+	endWritten bool             // a client has been sent released
 }
 
 // addUsage changes the stored usage of the call, of its tenant and of the server. The
@@ -88,16 +89,27 @@
 	}
 	c.state = ended
 	c.released = message{Type: typeReleased, Call: c.key.id, Reason: reason}
+	c.announceEnd()
+	c.scheduleRemoval()
+	c.server.stateOf(c.key.tenant).closeIfRemoved()
+}
+
+// announceEnd queues the end of the call on its sockets or, if there are none, on all sockets of the
+// tenant. If none has room for it, the end is pending. server.mu must be held.
+func (c *call) announceEnd() {
+	ts := c.server.stateOf(c.key.tenant)
 	recipients := c.watchers
 	if len(recipients) == 0 {
-		recipients = c.server.stateOf(c.key.tenant).sockets
+		recipients = ts.sockets
 	}
 	for s := range recipients {
-		s.enqueue(c.released)
+		if s.hasRoomForEnds() {
+			s.enqueueEnd(c)
+		}
+	}
+	if c.endsQueued == 0 {
+		ts.pendingEnds[c.key.id] = c
 	}
-	c.undelivered = len(recipients) == 0
-	c.scheduleRemoval()
-	c.server.stateOf(c.key.tenant).closeIfRemoved()
 }
 
 // scheduleRemoval removes an ended call from the tenant's quota now, and from the storage
@@ -110,7 +122,9 @@
 		c.server.mu.Lock()
 		defer c.server.mu.Unlock()
 		c.addUsage(-1, -c.bytes)
-		delete(c.server.stateOf(c.key.tenant).calls, c.key.id)
+		ts := c.server.stateOf(c.key.tenant)
+		delete(ts.calls, c.key.id)
+		delete(ts.pendingEnds, c.key.id)
 		c.server.dropIfEmpty(c.key.tenant)
 	})
 }
--- a/internal/callapi/message.go
+++ b/internal/callapi/message.go
@@ -151,11 +151,16 @@
 
 // write writes one message, and fails after the timeout.
 func write(ctx context.Context, c *websocket.Conn, m message, timeout time.Duration) error {
-	b, err := json.Marshal(m)
+	payload, err := json.Marshal(m)
 	if err != nil {
 		return err
 	}
+	return writePayload(ctx, c, payload, timeout)
+}
+
+// writePayload writes one encoded message, and fails after the timeout.
+func writePayload(ctx context.Context, c *websocket.Conn, payload []byte, timeout time.Duration) error {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	return c.Write(ctx, websocket.MessageText, b)
+	return c.Write(ctx, websocket.MessageText, payload)
 }
--- a/internal/callapi/server.go
+++ b/internal/callapi/server.go
@@ -44,7 +44,8 @@
 
 	mu          sync.Mutex
 	tenants     map[tenant.Account]*tenantState
-	stored      usage                   // of all tenants
+	stored      usage // of all tenants
+	queuedBytes int   // size of the messages that wait for all clients
 	closed      bool
 	connections sync.WaitGroup // open connections; added to under mu, and only while closed is false
 }
@@ -55,7 +56,10 @@
 	calls   map[string]*call // by the tenant's call ID
 	sockets map[*socket]bool
 	used    usage
-	removed bool // the tenant was removed; its sockets stay open for the ends of its calls only
+	// pendingEnds are the ended calls, by their ids, of which no client has been sent the end or is about
+	// to be.
+	pendingEnds map[string]*call
+	removed     bool // the tenant was removed; its sockets stay open for the ends of its calls only
 }
 
 // usage is the number of stored calls and the size of their descriptions in bytes.
@@ -67,13 +71,10 @@
 }
 
 const (
-	socketQueueLen       = 256
-	writeTimeout         = 2 * time.Second
-	pingInterval         = 15 * time.Second
-	pingTimeout          = 5 * time.Second
 	closeTimeout         = 2 * time.Second
 	messageTimeout       = 2 * time.Second // from the start of a client's message to its end
 	tenantStorageDivisor = 4               // one tenant may use 1/tenantStorageDivisor of the storage
+	queuedBytesDivisor   = 2               // messages that wait for clients may take MaxStoredBytes/queuedBytesDivisor
 	maxBadMessages       = 20              // unreadable messages on one socket, after which it is closed
 	defaultRetryAfter    = time.Second
 )
@@ -110,7 +111,7 @@
 	defer cancel()
 	flushing, flush := context.WithCancel(ctx)
 	defer flush()
-	s := &socket{server: srv, tenant: account, conn: conn, queue: make(chan message, socketQueueLen), abort: cancel, flushAndClose: flush}
+	s := newSocket(srv, account, conn, cancel, flush)
 	if reason := srv.addSocket(s); reason != "" {
 		conn.Close(websocket.StatusGoingAway, reason)
 		return
@@ -118,10 +119,11 @@
 	defer srv.connections.Done()
 	var wg sync.WaitGroup
 	wg.Go(func() { s.write(ctx, flushing) })
+	wg.Go(func() { s.ping(ctx) })
 	err = s.read(ctx)
-	srv.removeSocket(s)
 	cancel()
 	wg.Wait()
+	srv.removeSocket(s)
 	srv.Log.Debug("call API: connection ended", "tenant", account.ID, "error", err)
 }
 
@@ -150,13 +152,19 @@
 	srv.connections.Add(1)
 	ts := srv.stateOf(s.tenant)
 	ts.sockets[s] = true
-	for _, c := range ts.calls {
-		if c.undelivered {
-			c.undelivered = false
-			s.enqueue(c.released)
+	ts.queuePendingEnds(s)
+	return ""
+}
+
+// queuePendingEnds queues pending ends on a socket while it has room. The server's lock is held.
+func (ts *tenantState) queuePendingEnds(s *socket) {
+	for id, c := range ts.pendingEnds {
+		if !s.hasRoomForEnds() {
+			return
 		}
+		delete(ts.pendingEnds, id)
+		s.enqueueEnd(c)
 	}
-	return ""
 }
 
 // stateOf returns the state of a tenant, and creates it if there is none. srv.mu must be
@@ -166,7 +174,7 @@
 		srv.tenants = map[tenant.Account]*tenantState{}
 	}
 	if srv.tenants[account] == nil {
-		srv.tenants[account] = &tenantState{calls: map[string]*call{}, sockets: map[*socket]bool{}}
+		srv.tenants[account] = &tenantState{calls: map[string]*call{}, sockets: map[*socket]bool{}, pendingEnds: map[string]*call{}}
 	}
 	return srv.tenants[account]
 }
@@ -178,13 +186,33 @@
 	}
 }
 
+// limitQueuedBytes disconnects the clients for which most waits while more waits than is allowed.
+// srv.mu must be held.
+func (srv *Server) limitQueuedBytes() {
+	for srv.queuedBytes > srv.MaxStoredBytes/queuedBytesDivisor {
+		var largest *socket
+		for _, ts := range srv.tenants {
+			for s := range ts.sockets {
+				if largest == nil || s.queuedBytes > largest.queuedBytes {
+					largest = s
+				}
+			}
+		}
+		if largest == nil || largest.queuedBytes == 0 {
+			return
+		}
+		largest.disconnectSlow()
+	}
+}
+
 // removeSocket removes a closed socket. Pending calls without another socket fail, which is
-// their final answer, and are hung up.
+// their final answer, and are hung up. Ends of calls that were not written are announced again.
 func (srv *Server) removeSocket(s *socket) {
 	var abandoned []uint64
 	srv.mu.Lock()
 	ts := srv.stateOf(s.tenant)
 	delete(ts.sockets, s)
+	unwritten := s.takeUnwrittenEnds()
 	for _, c := range ts.calls {
 		if !c.watchers[s] {
 			continue
@@ -195,6 +223,11 @@
 			abandoned = append(abandoned, c.coreID)
 		}
 	}
+	for _, c := range unwritten {
+		if !c.endWritten && c.endsQueued == 0 {
+			c.announceEnd()
+		}
+	}
 	srv.dropIfEmpty(s.tenant)
 	srv.mu.Unlock()
 	for _, id := range abandoned {
@@ -285,8 +318,7 @@
 			s.enqueue(c.answer)
 		}
 		if c.state == ended && c.released.Type != "" {
-			c.undelivered = false
-			s.enqueue(c.released)
+			s.enqueueEnd(c)
 		}
 		return nil
 	}
--- a/internal/callapi/server_test.go
+++ b/internal/callapi/server_test.go
@@ -103,6 +103,156 @@
 	}
 }
 
+// establish sets up calls on a connection and reads their answers.
+func establish(t *testing.T, fake fakeCore, c *websocket.Conn, calls int) {
+	t.Helper()
+	for n := range calls {
+		sendSetUp(t, c, n)
+		if err := (<-fake.offered).Answer(0, nil); err != nil {
+			t.Fatal(err)
+		}
+		if m, err := read(t.Context(), c, time.Minute); err != nil || m.Type != typeAnswer {
+			t.Fatalf("%+v, %v", m, err)
+		}
+	}
+}
+
+// Guards against ends that are thrown away because more of them are due at once than a queue holds: at a
+// planned stop, at the death of a switch, and for a client that reconnects. It reads all the time.
+func TestManyEndsAtOnceReachTheClient(t *testing.T) {
+	const calls = 600
+	endAll := func(srv *Server) {
+		srv.mu.Lock()
+		defer srv.mu.Unlock()
+		for _, ts := range srv.tenants {
+			for _, c := range ts.calls {
+				c.end(reasonCut)
+			}
+		}
+	}
+	for name, c := range map[string]struct {
+		end       func(srv *Server)
+		reconnect bool
+		fullQueue bool // the client's queue has no room for ends at first
+	}{
+		"planned stop":           {func(srv *Server) { go srv.Close() }, false, false},
+		"cut":                    {endAll, false, false},
+		"cut, the queue is full": {endAll, false, true},
+		"ended without a client": {endAll, true, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			srv, fake, dial := newTestServer(t, 4000)
+			conn := dial("acme")
+			establish(t, fake, conn, calls)
+			if c.reconnect {
+				conn.CloseNow()
+				awaitSockets(t, srv, 0)
+			}
+			if c.fullQueue {
+				srv.mu.Lock()
+				for _, ts := range srv.tenants {
+					for s := range ts.sockets {
+						for s.hasRoomForEnds() {
+							s.enqueue(message{Type: typeError, Detail: strings.Repeat("x", maxDescription)})
+						}
+					}
+				}
+				for _, ts := range srv.tenants {
+					for _, call := range ts.calls {
+						call.end(reasonCut)
+					}
+				}
+				srv.mu.Unlock()
+			} else {
+				c.end(srv)
+			}
+			if c.reconnect {
+				conn = dial("acme")
+			}
+			ended := map[string]bool{}
+			for len(ended) < calls {
+				m, err := read(t.Context(), conn, time.Minute)
+				if err != nil {
+					t.Fatalf("notified of %d of %d ends: %v", len(ended), calls, err)
+				}
+				if m.Type == typeReleased {
+					ended[m.Call] = true
+				}
+			}
+		})
+	}
+}
+
+func awaitSockets(t *testing.T, srv *Server, want int) {
+	t.Helper()
+	for end := time.Now().Add(20 * time.Second); ; time.Sleep(time.Millisecond) {
+		srv.mu.Lock()
+		count := 0
+		for _, ts := range srv.tenants {
+			count += len(ts.sockets)
+		}
+		srv.mu.Unlock()
+		if count == want {
+			return
+		}
+		if time.Now().After(end) {
+			t.Fatalf("%d sockets, want %d", count, want)
+		}
+	}
+}
+
+// Guards against memory that a client uses up that sends and does not read: what waits for it is bounded
+// in bytes, alone and beside others, and in time. Its ends are kept for its next connection.
+func TestWhatWaitsForAClientThatDoesNotReadIsBounded(t *testing.T) {
+	srv, fake, dial := newTestServer(t, 4000)
+	const clients, calls = 3, 40
+	var conns []*websocket.Conn
+	for i := range clients {
+		conn := dial("acme")
+		for n := range calls {
+			sendSetUp(t, conn, i*calls+n)
+			if err := (<-fake.offered).Answer(0, []byte(strings.Repeat("x", maxDescription))); err != nil {
+				t.Fatal(err)
+			}
+		}
+		conns = append(conns, conn)
+	}
+	srv.mu.Lock()
+	srv.MaxStoredBytes = 4 * maxQueuedBytes // so that three clients together reach the limit on all
+	srv.mu.Unlock()
+	for i, conn := range conns {
+		go func() { // each repetition is answered again
+			for n := 0; conn.Write(t.Context(), websocket.MessageText, fmt.Appendf(nil,
+				`{"type":"setup","call":"%d","class":"space-check","number":"4711","dest":2,"wait_ms":60000}`, i*calls+n%calls)) == nil; n++ {
+			}
+		}()
+	}
+	largest := 0
+	for end := time.Now().Add(20 * time.Second); ; time.Sleep(time.Millisecond) {
+		srv.mu.Lock()
+		waiting, sockets := srv.queuedBytes, 0
+		for _, ts := range srv.tenants {
+			sockets += len(ts.sockets)
+		}
+		srv.mu.Unlock()
+		largest = max(largest, waiting)
+		if sockets == 0 {
+			break
+		}
+		if time.Now().After(end) {
+			t.Fatalf("%d clients that do not read are still connected", sockets)
+		}
+	}
+	if limit := srv.MaxStoredBytes / queuedBytesDivisor; largest > limit {
+		t.Errorf("%d bytes waited, %d are allowed", largest, limit)
+	}
+	srv.mu.Lock()
+	defer srv.mu.Unlock()
+	if srv.queuedBytes != 0 {
+		t.Errorf("%d bytes are counted without a client", srv.queuedBytes)
+	}
+}
+
 // Guards against an exit that hangs on a client that reads nothing.
 func TestCloseDoesNotWaitForASlowClient(t *testing.T) {
 	srv, fake, dial := newTestServer(t, 1000)
