Floods: limit releases of unknown calls, and share the switches among sources

What callers saw: while one client sent releases of unknown calls or new set-ups on one connection at full speed, another one's set-ups were not answered.

Cause: the release of an unknown call goes to every switch, without a limit, and the switches' processors were busy with them. And one connection could have all the calls that a proxy may have; calls of a flood and of others were refused alike.

Change: unknown releases are passed on at 50 a second, from one connection at 20 a second; more are dropped and not acknowledged. A source (connection or tenant) has at most half of the calls; decide/share gives each source an equal part of what was answered lately while over three times as much is offered.

--- a/internal/callapi/server.go
+++ b/internal/callapi/server.go
@@ -338,7 +338,7 @@
 		return nil
 	}
 	c.counted = true
-	err = srv.Handler.Offer(&core.SetUp{ID: c.coreID, Class: srv.Classes[req.class].Index, ClassName: req.class, Tenant: s.tenant.ID,
+	err = srv.Handler.Offer(&core.SetUp{ID: c.coreID, Class: srv.Classes[req.class].Index, ClassName: req.class, Tenant: s.tenant.ID, Source: s.tenant,
 		Number: req.number, Description: []byte(req.description), Dest: req.dest, Width: req.width, Deadline: receivedAt.Add(timeout)}, c)
 	if err != nil {
 		c.setFinalAnswer(c.refusedMessage(reasonOverload, defaultRetryAfter))
--- a/internal/core/call.go
+++ b/internal/core/call.go
@@ -154,7 +154,7 @@
 				c.options.Observer.CallEnded(EndNotDelivered)
 				return
 			}
-			c.markAnswered(call)
+			c.markEstablished(call)
 			c.options.Observer.FinalAnswer(AnswerEstablished)
 			c.options.Observer.AttemptEnded(routing.Ended)
 
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"golang.org/x/sync/errgroup"
+	"golang.org/x/time/rate"
 
 	"violetspan.example/violetspan/routing"
 )
@@ -35,6 +36,9 @@
 	Deadline    time.Time // when the caller gives up
 	// Transferable means that another process can notify the caller of the end of the call.
 	Transferable bool
+	// Source names the origin of the call among those that share what the switches can take: any
+	// comparable value; nil: the call is not limited.
+	Source any
 }
 
 // MaxNumberDigits is the maximum length of a called number, in digits.
@@ -139,6 +143,17 @@
 	// OnAccepted, if set, is called for each call accepted from a caller of this exchange,
 	// except those in transit and those set up again after a cut. It must not block.
 	OnAccepted func(setUp *SetUp)
+	// Sharing divides what the switches can take among the sources of calls; nil: no source is limited.
+	// It is called with the core's lock held.
+	Sharing Sharing
+}
+
+// Sharing decides which source may have another call. decide/share implements it.
+type Sharing interface {
+	// Admit reports whether a call that a source offers may be tried.
+	Admit(now time.Time, source any) bool
+	// Answered records that a call was established.
+	Answered(now time.Time)
 }
 
 const (
@@ -153,9 +168,13 @@
 	endedRetention    = 30 * time.Second       // how long the ID of an ended call is kept in endedCalls
 	maxEndedCalls     = 1 << 15
 	maxUnknownHangUps = 1024
-	takeOverPeriod    = 30 * time.Second // after the start, during which calls of the former process are taken over
-	maxEndedUnknown   = 1 << 13
-	clockOffset       = 24 * time.Hour // controller's time at start; above 0, as switches may have started before
+	// Hang-ups of unknown calls that are passed on a second, and at once: after a crash, callers hang up
+	// its calls as they do usually.
+	maxUnknownHangUpRate = 50
+	unknownHangUpBurst   = 100
+	takeOverPeriod       = 30 * time.Second // after the start, during which calls of the former process are taken over
+	maxEndedUnknown      = 1 << 13
+	clockOffset          = 24 * time.Hour // controller's time at start; above 0, as switches may have started before
 )
 
 // Core runs calls. Create it with New.
@@ -175,6 +194,8 @@
 	switches        map[string]*listedSwitch
 	endedCalls      map[uint64]time.Time // recently ended calls, with the time of their end
 	lastSweep       time.Time
+	callsOfSource   map[any]int            // by SetUp.Source
+	hangUpsDropped  int                    // in a row, for want of room in unknownHangUps
 	endedUnknown    map[uint64]bool        // calls not known here that ended in takeOverPeriod
 	unanswered      int                    // calls whose final answer is pending
 	changed         chan struct{}          // closed and replaced when unanswered or len(calls) falls
@@ -218,6 +239,7 @@
 	c := &Core{options: options, log: options.Log, startTime: time.Now(), ctx: ctx, callGroup: group,
 		controller: controller, calls: map[uint64]*callState{}, callsByName: map[string]*callState{},
 		switches: map[string]*listedSwitch{}, removedSwitches: map[*listedSwitch]bool{},
+		callsOfSource: map[any]int{},
 		endedCalls: map[uint64]time.Time{}, endedUnknown: map[uint64]bool{}, changed: make(chan struct{}),
 		unknownHangUps: make(chan unknownHangUp, maxUnknownHangUps)}
 	c.shutdown, c.beginShutdown = context.WithCancel(ctx)
@@ -287,8 +309,8 @@
 }
 
 // Offer accepts a call. It returns ErrDuplicateCall if the call is already known, and
-// ErrBusy if Options.MaxCalls is reached or the core is stopping; the front end must then
-// give the final answer itself.
+// ErrBusy if Options.MaxCalls or the share of the call's source is reached or the core is stopping;
+// the front end must then give the final answer itself.
 func (c *Core) Offer(setUp *SetUp, caller Caller) error {
 	call := newCall(c, setUp, caller)
 	c.mu.Lock()
@@ -301,6 +323,10 @@
 		call.cancel()
 		return ErrDuplicateCall
 	}
+	if !c.admitSource(setUp.Source) {
+		call.cancel()
+		return ErrBusy
+	}
 	c.calls[setUp.ID], c.callsByName[call.name] = call, call
 	delete(c.endedCalls, setUp.ID)
 	c.unanswered++
@@ -314,6 +340,32 @@
 	return nil
 }
 
+// maxSourceShare is the part of Options.MaxCalls that the calls of one source may take.
+const maxSourceShare = 0.5
+
+// admitSource reports whether a source may have another call. The lock is held.
+func (c *Core) admitSource(source any) bool {
+	if source == nil {
+		return true
+	}
+	limit := max(1, int(maxSourceShare*float64(c.options.MaxCalls)))
+	if c.callsOfSource[source] >= limit {
+		return false
+	}
+	if c.options.Sharing != nil && !c.options.Sharing.Admit(time.Now(), source) {
+		return false
+	}
+	c.callsOfSource[source]++
+	return true
+}
+
+// removeFromSource removes a call from the count of its source. The lock is held.
+func (c *Core) removeFromSource(source any) {
+	if c.callsOfSource[source]--; c.callsOfSource[source] <= 0 {
+		delete(c.callsOfSource, source)
+	}
+}
+
 // Errors returned by Offer.
 var (
 	ErrBusy          = errors.New("no room for another call")
@@ -343,18 +395,45 @@
 	}
 	select {
 	case c.unknownHangUps <- unknownHangUp{id, links}:
+		c.noteHangUpQueued(id, true)
 	default:
+		c.noteHangUpQueued(id, false)
+	}
+}
+
+// noteHangUpQueued counts the hang-ups of unknown calls that are dropped in a row, and logs the first.
+func (c *Core) noteHangUpQueued(id uint64, queued bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if queued {
+		c.hangUpsDropped = 0
+		return
+	}
+	c.hangUpsDropped++
+	if c.hangUpsDropped == 1 {
 		c.log.Warn("queue of hang-ups of unknown calls is full", "call", fmt.Sprintf("%016x", id))
 	}
 }
 
-// releaseUnknownCalls sends the release of each unknown call to every switch. It runs in its
-// own goroutine, as a switch that does not read would block the reader of the caller's
-// connection.
+// Knows reports whether a call has not ended, or has ended lately.
+func (c *Core) Knows(id uint64) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	_, ended := c.endedCalls[id]
+	return ended || c.calls[id] != nil
+}
+
+// releaseUnknownCalls sends the release of each unknown call to every switch, at a limited rate: each
+// costs every switch work. It runs in its own goroutine, as a switch that does not read would block the
+// reader of the caller's connection.
 func (c *Core) releaseUnknownCalls() error {
+	limiter := rate.NewLimiter(maxUnknownHangUpRate, unknownHangUpBurst)
 	for {
 		select {
 		case hangUp := <-c.unknownHangUps:
+			if limiter.Wait(c.ctx) != nil {
+				return nil
+			}
 			for _, l := range hangUp.links {
 				l.Release(hangUp.id)
 			}
@@ -378,14 +457,17 @@
 	return c.unanswered, len(c.calls) - c.unanswered
 }
 
-// markAnswered records that the final answer of a call was given.
-func (c *Core) markAnswered(call *callState) {
+// markEstablished records that the caller of a call was notified that it is established.
+func (c *Core) markEstablished(call *callState) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.options.Sharing != nil {
+		c.options.Sharing.Answered(time.Now())
+	}
 	c.markAnsweredLocked(call)
 }
 
-// markAnsweredLocked is markAnswered with the lock held.
+// markAnsweredLocked records that the final answer of a call was given. The lock is held.
 func (c *Core) markAnsweredLocked(call *callState) {
 	if !call.finalAnswerGiven {
 		call.finalAnswerGiven = true
@@ -406,6 +488,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.markAnsweredLocked(call)
+	c.removeFromSource(call.Source)
 	close(call.done)
 	delete(c.calls, call.ID)
 	delete(c.callsByName, call.name)
--- a/internal/platform/callerconn.go
+++ b/internal/platform/callerconn.go
@@ -10,6 +10,8 @@
 	"sync"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"violetspan.example/violetspan/internal/core"
 	"violetspan.example/violetspan/internal/metrics"
 	"violetspan.example/violetspan/internal/sig"
@@ -36,11 +38,12 @@
 	unusableCount   int             // unusable messages since the last usable one
 	lastUsable      time.Time       // when the last usable message was received; initially created
 
-	inMessage bool // a message has begun; used by the reader only
+	inMessage       bool          // a message has begun; used by the reader only
+	unknownReleases *rate.Limiter // releases of unknown calls; used by the reader only
 }
 
 func newCallerConn(s *Server, netConn net.Conn, at time.Time) *callerConn {
-	return &callerConn{server: s, Conn: netConn, created: at, lastUsable: at, openSetUps: map[uint64]bool{}, established: map[uint64]bool{}}
+	return &callerConn{server: s, Conn: netConn, unknownReleases: rate.NewLimiter(maxUnknownReleaseRate, unknownReleaseBurst), created: at, lastUsable: at, openSetUps: map[uint64]bool{}, established: map[uint64]bool{}}
 }
 
 // serve reads and handles messages until the connection ends. It then hangs up the set-ups
@@ -189,21 +192,7 @@
 	case sig.SetUp:
 		return c.handleSetUp(m, receivedAt)
 	case sig.Release:
-		server.mu.Lock()
-		owner := server.openSetUps[m.Call]
-		if owner == c {
-			server.removeSetUp(c, m.Call)
-		}
-		server.mu.Unlock()
-		if owner == nil || owner == c {
-			server.Handler.HangUp(m.Call) // an established call may be hung up on any connection
-			c.noteUsable()
-		}
-		_ = c.send(&sig.Message{Type: sig.ReleaseAck, Call: m.Call})
-		server.callEnded(m.Call)
-		if owner != nil && owner != c {
-			return c.noteUnusable(errors.New("release of a set-up that is open on another connection"))
-		}
+		return c.handleRelease(m)
 	case sig.ReleaseAck:
 		if server.handleAcknowledgement(c, m.Call) {
 			c.noteUsable()
@@ -219,6 +208,37 @@
 	return nil
 }
 
+var (
+	errForeignRelease  = errors.New("release of a set-up that is open on another connection")
+	errUnknownReleases = errors.New("too many releases of unknown calls")
+)
+
+// handleRelease cancels a set-up or hangs up an established call. An established call may be hung up on any
+// connection. The release of an unknown call is passed on to every switch, as the call may be from before a
+// restart; a connection that sends too many of them gets no acknowledgement for the rest, which are dropped.
+func (c *callerConn) handleRelease(m *sig.Message) error {
+	server := c.server
+	server.mu.Lock()
+	owner := server.openSetUps[m.Call]
+	if owner == c {
+		server.removeSetUp(c, m.Call)
+	}
+	server.mu.Unlock()
+	if owner == nil && !server.Handler.Knows(m.Call) && !c.unknownReleases.Allow() {
+		return c.noteUnusable(errUnknownReleases)
+	}
+	if owner == nil || owner == c {
+		server.Handler.HangUp(m.Call)
+		c.noteUsable()
+	}
+	_ = c.send(&sig.Message{Type: sig.ReleaseAck, Call: m.Call})
+	server.callEnded(m.Call)
+	if owner != nil && owner != c {
+		return c.noteUnusable(errForeignRelease)
+	}
+	return nil
+}
+
 var (
 	errDuplicateID = errors.New("two open set-ups with the same id on a connection")
 	errIDInUse     = errors.New("id of a set-up that is open on another connection")
@@ -233,6 +253,7 @@
 	}
 	if err == nil {
 		c.noteUsable()
+		setUp.Source = c
 		if err = server.Handler.Offer(setUp, c); err == nil {
 			return nil
 		}
--- a/internal/platform/server.go
+++ b/internal/platform/server.go
@@ -19,6 +19,9 @@
 	Offer(setUp *core.SetUp, caller core.Caller) error
 	// HangUp cancels a set-up or hangs up an established call. Unknown ids are allowed.
 	HangUp(id uint64)
+	// Knows reports whether a call has not ended, or has ended lately. A HangUp of another one is
+	// costly.
+	Knows(id uint64) bool
 }
 
 const (
@@ -31,7 +34,11 @@
 	// set up yet. A faulty caller's connection stays untrusted.
 	maxUntrustedSetUps  = 32 // open set-ups
 	maxUnusableMessages = 16 // consecutive unusable messages after which the connection is closed
-	untrustedDivisor    = 4  // all untrusted connections together may have MaxOpenSetUps/untrustedDivisor open set-ups
+	// Releases of unknown calls that a connection may send a second, and at once.
+	maxUnknownReleaseRate = 20
+	unknownReleaseBurst   = 50
+
+	untrustedDivisor = 4 // all untrusted connections together may have MaxOpenSetUps/untrustedDivisor open set-ups
 )
 
 // Server accepts connections from callers and passes their set-ups to a CallHandler.
--- a/internal/platform/server_test.go
+++ b/internal/platform/server_test.go
@@ -31,6 +31,7 @@
 type offerRecorder chan core.Caller
 
 func (o offerRecorder) Offer(_ *core.SetUp, caller core.Caller) error { o <- caller; return nil }
+func (o offerRecorder) Knows(uint64) bool                             { return true }
 func (o offerRecorder) HangUp(uint64)                                 {}
 
 // dialNewServer starts a server with the given timeouts and returns a connection to it.
@@ -443,6 +444,7 @@
 type refusingHandler struct{}
 
 func (refusingHandler) Offer(*core.SetUp, core.Caller) error { return core.ErrBusy }
+func (refusingHandler) Knows(uint64) bool                    { return true }
 func (refusingHandler) HangUp(uint64)                        {}
 
 // Guards against polls that wait for a dial to an unreachable command channel: such a dial
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -18,6 +18,7 @@
 	"golang.org/x/net/netutil"
 	"golang.org/x/sync/errgroup"
 
+	"violetspan.example/violetspan/decide/share"
 	"violetspan.example/violetspan/internal/admin"
 	"violetspan.example/violetspan/internal/callapi"
 	"violetspan.example/violetspan/internal/config"
@@ -360,7 +361,7 @@
 // coreOptions returns the active settings and the options of the core, and creates the
 // platform server.
 func (p *Proxy) coreOptions(serveCtx context.Context) (*config.Settings, core.Options) {
-	options := core.Options{Log: p.log, Observer: observer{p.metrics}}
+	options := core.Options{Log: p.log, Observer: observer{p.metrics}, Sharing: share.New(share.Defaults)}
 	var settings *config.Settings
 	if platformConfig := p.platform; platformConfig != nil {
 		settings, options.Seed = &platformConfig.Settings, platformConfig.Seed
