--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -240,7 +240,7 @@
 		controller: controller, calls: map[uint64]*callState{}, callsByName: map[string]*callState{},
 		switches: map[string]*listedSwitch{}, removedSwitches: map[*listedSwitch]bool{},
 		callsOfSource: map[any]int{},
-		endedCalls: map[uint64]time.Time{}, endedUnknown: map[uint64]bool{}, changed: make(chan struct{}),
+		endedCalls:    map[uint64]time.Time{}, endedUnknown: map[uint64]bool{}, changed: make(chan struct{}),
 		unknownHangUps: make(chan unknownHangUp, maxUnknownHangUps)}
 	c.shutdown, c.beginShutdown = context.WithCancel(ctx)
 	c.background.Go(c.releaseUnknownCalls)
