core: an id does not run twice when it comes again after its client has left

What callers saw: ids that came again on a new connection, after their client had closed the first one, were sent to a switch a second time, without the retry backoff.

Cause: the core kept the id of an ended call for late messages of its switch only; a set-up with that id was a new call.

Change: a set-up whose id ended in the last 30 s, after a set-up of it was sent, is answered as failed.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -167,6 +167,7 @@
 	probeEarlyFor     = 10 * time.Second       // duration of early probing, see ProbeEarly
 	endedRetention    = 30 * time.Second       // how long the ID of an ended call is kept in endedCalls
 	maxEndedCalls     = 1 << 15
+	minSweepInterval  = time.Second // a sweep looks at all of endedCalls
 	maxUnknownHangUps = 1024
 	// Hang-ups of unknown calls that are passed on a second, and at once: after a crash, callers hang up
 	// its calls as they do usually.
@@ -192,7 +193,7 @@
 	calls           map[uint64]*callState
 	callsByName     map[string]*callState // the same calls, by their names for the controller
 	switches        map[string]*listedSwitch
-	endedCalls      map[uint64]time.Time // recently ended calls, with the time of their end
+	endedCalls      map[uint64]endedCall // recently ended calls
 	lastSweep       time.Time
 	callsOfSource   map[any]int            // by SetUp.Source
 	hangUpsDropped  int                    // in a row, for want of room in unknownHangUps
@@ -214,6 +215,12 @@
 	removedGracefully bool   // the link stays open until no call uses it
 }
 
+// endedCall is a call that ended lately.
+type endedCall struct {
+	at        time.Time
+	attempted bool // a set-up of it was sent to a switch
+}
+
 // unknownHangUp is the hang-up of a call that this core does not know.
 type unknownHangUp struct {
 	id    uint64
@@ -240,7 +247,7 @@
 		controller: controller, calls: map[uint64]*callState{}, callsByName: map[string]*callState{},
 		switches: map[string]*listedSwitch{}, removedSwitches: map[*listedSwitch]bool{},
 		callsOfSource: map[any]int{},
-		endedCalls:    map[uint64]time.Time{}, endedUnknown: map[uint64]bool{}, changed: make(chan struct{}),
+		endedCalls:    map[uint64]endedCall{}, endedUnknown: map[uint64]bool{}, changed: make(chan struct{}),
 		unknownHangUps: make(chan unknownHangUp, maxUnknownHangUps)}
 	c.shutdown, c.beginShutdown = context.WithCancel(ctx)
 	c.background.Go(c.releaseUnknownCalls)
@@ -308,7 +315,8 @@
 	}
 }
 
-// Offer accepts a call. It returns ErrDuplicateCall if the call is already known, and
+// Offer accepts a call. It returns ErrDuplicateCall if the call is already known, or has ended lately
+// after a set-up of it was sent to a switch, where it would run twice. It returns
 // ErrBusy if Options.MaxCalls or the share of the call's source is reached or the core is stopping;
 // the front end must then give the final answer itself.
 func (c *Core) Offer(setUp *SetUp, caller Caller) error {
@@ -319,7 +327,7 @@
 		call.cancel()
 		return ErrBusy
 	}
-	if c.calls[setUp.ID] != nil {
+	if c.calls[setUp.ID] != nil || c.endedCalls[setUp.ID].attempted {
 		call.cancel()
 		return ErrDuplicateCall
 	}
@@ -493,16 +501,17 @@
 	delete(c.calls, call.ID)
 	delete(c.callsByName, call.name)
 	now := time.Now()
-	if now.Sub(c.lastSweep) > endedRetention/4 || len(c.endedCalls) >= maxEndedCalls {
+	full := len(c.endedCalls) >= maxEndedCalls
+	if now.Sub(c.lastSweep) > endedRetention/4 || full && now.Sub(c.lastSweep) > minSweepInterval {
 		c.lastSweep = now
-		for id, t := range c.endedCalls {
-			if now.Sub(t) > endedRetention {
+		for id, ended := range c.endedCalls {
+			if now.Sub(ended.at) > endedRetention {
 				delete(c.endedCalls, id)
 			}
 		}
 	}
 	if len(c.endedCalls) < maxEndedCalls {
-		c.endedCalls[call.ID] = now
+		c.endedCalls[call.ID] = endedCall{now, call.lastSwitch != nil}
 	}
 	c.notifyChanged()
 	if len(c.removedSwitches) > 0 {
--- a/internal/core/takeover.go
+++ b/internal/core/takeover.go
@@ -73,7 +73,7 @@
 // endFormerCall releases a call that is not taken over towards its caller and, if the link is not nil,
 // its switch. The lock is held.
 func (c *Core) endFormerCall(id uint64, caller Caller, link Link) {
-	c.endedCalls[id] = time.Now()
+	c.endedCalls[id] = endedCall{time.Now(), true}
 	c.background.Go(func() error {
 		if link != nil {
 			link.Release(id)
