cluster: opening a store writes nothing to a file that is one already

Cause: OpenStore checked the identity of an existing file in a write transaction, whose commit writes the free list. In a corrupt file that can lead anywhere: 'write: file too large', which says neither that the file is corrupt nor, in other cases, names it; and a check of a corrupt file changed it.

Change: the check is a read transaction; only an empty file is written to. Errors of that name the file.

--- a/internal/cluster/store.go
+++ b/internal/cluster/store.go
@@ -65,36 +65,58 @@
 		}
 		return nil, fmt.Errorf("%w: %s: %w", ErrCorrupt, path, err)
 	}
+	if err := s.identify(member); err != nil {
+		_ = s.db.Close() // the first error is returned
+		return nil, err
+	}
+	return s, nil
+}
+
+// identify checks that the file is a store of the member, or makes an empty file one. It writes to no other
+// file: the free list of a corrupt one may lead writes anywhere.
+func (s *Store) identify(member uint64) error {
+	isEmpty := false
+	err := s.db.View(func(tx *bbolt.Tx) error {
+		isEmpty = tx.Bucket(bucketMeta) == nil
+		if isEmpty {
+			return nil
+		}
+		return s.checkIdentity(tx.Bucket(bucketMeta), member)
+	})
+	if err != nil || !isEmpty {
+		return err
+	}
 	err = s.db.Update(func(tx *bbolt.Tx) error {
-		meta := tx.Bucket(bucketMeta)
-		if meta == nil {
-			if meta, err = tx.CreateBucket(bucketMeta); err != nil {
-				return err
-			}
-			if _, err := tx.CreateBucket(bucketEntries); err != nil {
-				return err
-			}
-			return errors.Join(meta.Put(keyFormat, addChecksum(encodeUint64(formatVersion))), meta.Put(keyMember, addChecksum(encodeUint64(member))))
+		meta, err := tx.CreateBucket(bucketMeta)
+		if err != nil {
+			return err
 		}
-		for _, n := range []struct {
-			key  []byte
-			want uint64
-		}{{keyFormat, formatVersion}, {keyMember, member}} {
-			v, err := s.verifyChecksum(meta.Get(n.key), "meta "+string(n.key))
-			if err != nil {
-				return err
-			}
-			if len(v) != 8 || binary.BigEndian.Uint64(v) != n.want {
-				return fmt.Errorf("%w: %s: %s %x, not %d", ErrStoreMismatch, path, n.key, v, n.want)
-			}
+		if _, err := tx.CreateBucket(bucketEntries); err != nil {
+			return err
 		}
-		return nil
+		return errors.Join(meta.Put(keyFormat, addChecksum(encodeUint64(formatVersion))), meta.Put(keyMember, addChecksum(encodeUint64(member))))
 	})
 	if err != nil {
-		_ = s.db.Close() // the first error is returned
-		return nil, err
+		return fmt.Errorf("cluster: %s: %w", s.path, err)
 	}
-	return s, nil
+	return nil
+}
+
+// checkIdentity checks the format and the member of a store.
+func (s *Store) checkIdentity(meta *bbolt.Bucket, member uint64) error {
+	for _, n := range []struct {
+		key  []byte
+		want uint64
+	}{{keyFormat, formatVersion}, {keyMember, member}} {
+		v, err := s.verifyChecksum(meta.Get(n.key), "meta "+string(n.key))
+		if err != nil {
+			return err
+		}
+		if len(v) != 8 || binary.BigEndian.Uint64(v) != n.want {
+			return fmt.Errorf("%w: %s: %s %x, not %d", ErrStoreMismatch, s.path, n.key, v, n.want)
+		}
+	}
+	return nil
 }
 
 // checkMetaPages verifies both meta pages of an existing file. bbolt falls back to the
