Hosted service: limit the head of a request to 4 KiB

What operators saw: processes over their memory limit, with hundreds of clients that sent heads of very many short fields.

Cause: the limit on a head counts its bytes (16 KiB and 4 KiB of net/http's); a field of five bytes takes over ten times as many in memory, before the client is authenticated.

Change: 4 KiB (and 4 KiB); a longer head gets status 431.

--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -66,6 +66,9 @@
 const (
 	maxCalls      = 4096 // without a platform, whose configuration would specify the memory
 	maxAdminConns = 16
+	// maxHeaderBytes limits the head of an HTTP request. net/http adds 4 KiB to it. Very many short fields
+	// take over ten times their length in memory.
+	maxHeaderBytes = 4 << 10
 
 	maxStoredBytes  = 32 << 20
 	maxDestinations = 1 << 12 // if the settings don't specify the number of destinations
@@ -422,7 +425,7 @@
 			GetCertificate: func(*tls.ClientHelloInfo) (*tls.Certificate, error) { return p.cert.Load(), nil }})
 	}
 	srv := &http.Server{Handler: h, ReadHeaderTimeout: 2 * time.Second, ReadTimeout: 10 * time.Second,
-		WriteTimeout: 10 * time.Second, IdleTimeout: time.Minute, MaxHeaderBytes: 16 << 10,
+		WriteTimeout: 10 * time.Second, IdleTimeout: time.Minute, MaxHeaderBytes: maxHeaderBytes,
 		ErrorLog: slog.NewLogLogger(p.log.Handler(), slog.LevelWarn)}
 	g.Go(func() error {
 		if err := srv.Serve(limited); !errors.Is(err, http.ErrServerClosed) {
