--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -68,7 +68,7 @@
 	maxAdminConns = 16
 	// maxHeaderBytes limits the head of an HTTP request. net/http adds 4 KiB to it. Very many short fields
 	// take over ten times their length in memory.
-	maxHeaderBytes = 4 << 10
+	maxHeaderBytes = 512
 
 	maxStoredBytes  = 32 << 20
 	maxDestinations = 1 << 12 // if the settings don't specify the number of destinations
