platform: an invalid length from a switch ends the connection at once

Cause: fillBuffer waited for the bytes of a length that no message has, so noise from a switch was taken for an incomplete message for 0.5 s, and the calls on the connection were refused. Change: it asks sig.IsValidLength first.

--- a/internal/platform/switchconn.go
+++ b/internal/platform/switchconn.go
@@ -113,13 +113,18 @@
 	return sig.Read(c.in)
 }
 
-// fillBuffer waits until the buffer holds the next message, or as much of it as it can hold.
+// fillBuffer waits until the buffer holds the next message, or as much of it as it can hold. It does not
+// wait for the rest of what begins with an invalid length.
 func (c *switchConn) fillBuffer() error {
-	length, err := c.in.Peek(sig.LengthSize)
+	prefix, err := c.in.Peek(sig.LengthSize)
 	if err != nil {
 		return err
 	}
-	_, err = c.in.Peek(min(sig.LengthSize+int(binary.BigEndian.Uint16(length)), c.in.Size()))
+	length := int(binary.BigEndian.Uint16(prefix))
+	if !sig.IsValidLength(length) {
+		return nil
+	}
+	_, err = c.in.Peek(min(sig.LengthSize+length, c.in.Size()))
 	return err
 }
 
--- a/internal/sig/sig.go
+++ b/internal/sig/sig.go
@@ -63,6 +63,9 @@
 // follows it.
 const LengthSize = 2
 
+// IsValidLength reports whether a message may begin with a length.
+func IsValidLength(length int) bool { return length >= headerLength && length <= MaxLength-LengthSize }
+
 // Param is one parameter of a message.
 type Param struct {
 	Code  byte
@@ -131,7 +134,7 @@
 		return m, err
 	}
 	n := int(binary.BigEndian.Uint16(length[:]))
-	if n < headerLength || n > MaxLength-2 {
+	if !IsValidLength(n) {
 		return m, fmt.Errorf("%w: invalid length %d", ErrMalformed, n)
 	}
 	b := make([]byte, n)
