Inventory: a new process at a removed switch's address is not the old one

What callers saw: the process of a switch went, another came up at its address and got another name in the inventory: clients of calls at the first were never told; after a mere rename, the end of a call was dropped.

Cause: the link of a switch that left the inventory went on and connected to whatever had its address; a connection counts as a sign of life. Ends were accepted from the call's own link only.

Change: a link whose address another listed switch has opens no connections; calls from before its last break are cut, the others when the connection ends. An end is accepted from the switch that has the address now.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -99,8 +99,12 @@
 	// SetDraining sets whether the switch is draining according to the list.
 	SetDraining(draining bool)
 	// StopDialing makes the link open no more connections to the switch's address. It is
-	// called when the switch is removed from the list and its process no longer runs.
+	// called when the switch is removed from the list and its process no longer runs, or another
+	// switch is listed with its address. When the connection ends, the link reports the calls as ended.
 	StopDialing()
+	// LastBreak returns when the connection to the switch last ended without being replaced; zero:
+	// never. The next connection may have reached another process.
+	LastBreak() time.Time
 	// Close closes the link and waits for its goroutines.
 	Close()
 }
@@ -213,6 +217,7 @@
 	link              Link
 	source            string // the SwitchList.Source that lists it
 	removedGracefully bool   // the link stays open until no call uses it
+	displaced         bool   // removed gracefully, and another switch is listed with its address
 }
 
 // endedCall is a call that ended lately.
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -51,6 +51,7 @@
 }
 func (link fakeLink) ProbeEarlyUntil(time.Time) {}
 func (link fakeLink) ProbeFailing() bool        { return link.network.failingSwitch == link.id }
+func (link fakeLink) LastBreak() time.Time      { return time.Time{} }
 func (link fakeLink) LastEvidence() time.Time   { return time.Time{} }
 func (link fakeLink) TakeOver(uint64, time.Time, time.Time) {
 	link.network.toSwitches <- link.id + " taken over"
--- a/internal/core/handler.go
+++ b/internal/core/handler.go
@@ -55,7 +55,7 @@
 	call := c.calls[id]
 	_, ended := c.endedCalls[id]
 	known := call != nil || ended
-	if call != nil && call.currentSwitch == h.listed {
+	if call != nil && h.mayEnd(call) {
 		reason := EndReleased
 		if outcome.Result != routing.Ended {
 			reason = EndCutBySwitch
@@ -72,6 +72,13 @@
 	}
 }
 
+// mayEnd reports whether the switch may end a call: it has the call, or the call is established at a switch
+// that was listed with the same address under another name. The core's lock is held.
+func (h *SwitchHandler) mayEnd(call *callState) bool {
+	sw := call.currentSwitch
+	return sw == h.listed || sw != nil && call.answered && sw.displaced && sw.Addr == h.listed.Addr
+}
+
 // GroupReported handles a report on the trunk group toward the switch.
 func (h *SwitchHandler) GroupReported(report routing.Report) {
 	h.core.handleEvent(routing.Reported{Host: h.id, Report: report})
--- a/internal/core/switches.go
+++ b/internal/core/switches.go
@@ -51,9 +51,28 @@
 		}
 		event.Entries = append(event.Entries, listEntry)
 	}
+	c.endDisplaced()
 	c.handleEventLocked(event)
 }
 
+// endDisplaced stops the links to gracefully removed switches whose address another listed switch has. Either
+// the switch was renamed, or another process runs there. Calls from before the last break of the
+// connection are cut, as it can't be known which: a new process would never release them. The others go on
+// until the connection ends. The lock is held.
+func (c *Core) endDisplaced() {
+	listed := map[string]bool{}
+	for _, sw := range c.switches {
+		listed[sw.Addr] = true
+	}
+	for sw := range c.removedSwitches {
+		if sw.removedGracefully && !sw.displaced && listed[sw.Addr] {
+			sw.displaced = true
+			sw.link.StopDialing()
+			c.cutCalls(sw, EndRemoved, sw.link.LastBreak())
+		}
+	}
+}
+
 // withDisplaced prepends removals of the switches whose address the entries give to another
 // switch: an address is reused only when the process of its former switch no longer runs.
 func (c *Core) withDisplaced(entries []Switch, source string) []Switch {
--- /dev/null
+++ b/internal/proxy/replaced_test.go
@@ -0,0 +1,79 @@
+package proxy
+
+import (
+	"context"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/coder/websocket"
+)
+
+// endNotifyLimit is how soon after the end of a call without a release its client must be notified.
+const endNotifyLimit = 8*time.Second + 50*time.Millisecond
+
+// Guards against a new process at the address of a switch that has gone, which is taken for the old one: it
+// has none of the calls that stood there, and sends no release of them. The inventory has the new one under
+// another name, as it has a switch that was only renamed, whose calls go on.
+func TestNewProcessAtTheAddressOfASwitch(t *testing.T) {
+	for name, renamed := range map[string]bool{"another process": false, "renamed only": true} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := start(t, "\nx1", settingsJSON)
+			s.play(`
+		w1> {"type":"setup","call":"a","class":"space-check","number":"1","dest":1,"wait_ms":9000}
+		x1< {"type":"setup","call":"{id}","class":"space-check","number":"1","dest":1,"width":1,"wait_ms":0}
+		x1> {"type":"answer","call":"{id}","description":"d"}
+		w1< {"type":"answer","call":"a","description":"d"}`)
+			former := s.switches["x1"]
+			addr := former.ln.Addr().String()
+			replacement := former
+			if !renamed {
+				former.ln.Close()
+				replacement = newStandInAt(t, "x2", addr)
+				former.currentSocket.CloseNow()
+			}
+			s.renameSwitch("x1", "x2")
+			ctx, cancel := context.WithTimeout(t.Context(), endNotifyLimit)
+			defer cancel()
+			read := make(chan string, 1)
+			go func() {
+				_, b, err := s.clients["w1"].Read(ctx)
+				if err != nil {
+					b = []byte(err.Error())
+				}
+				read <- string(b)
+			}()
+			if renamed {
+				select {
+				case got := <-read:
+					t.Fatalf("a call of a renamed switch: %s", got)
+				case <-time.After(time.Second):
+				}
+				connection := <-replacement.sockets // of the new name
+				if err := connection.Write(ctx, websocket.MessageText, []byte(s.expand(`{"type":"released","call":"{id}","reason":"ended"}`))); err != nil {
+					t.Fatal(err)
+				}
+			}
+			if got := <-read; !strings.Contains(got, `"released"`) {
+				t.Errorf("after the end of the call: %s", got)
+			}
+		})
+	}
+}
+
+// renameSwitch gives a switch another name in the inventory, and reloads it.
+func (s *script) renameSwitch(from, to string) {
+	s.t.Helper()
+	b, err := os.ReadFile(s.proxy.service.Inventory)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	if err := os.WriteFile(s.proxy.service.Inventory, []byte(strings.Replace(string(b), from+":", to+":", 1)), 0o600); err != nil {
+		s.t.Fatal(err)
+	}
+	if status, got := s.do("POST", "/v1/inventory/reload", testToken, ""); status != 204 {
+		s.t.Fatalf("got %d %s", status, got)
+	}
+}
--- a/internal/proxy/script_test.go
+++ b/internal/proxy/script_test.go
@@ -74,8 +74,11 @@
 	currentSocket *websocket.Conn
 }
 
-func newStandIn(t *testing.T, name string) *standIn {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+func newStandIn(t *testing.T, name string) *standIn { return newStandInAt(t, name, "127.0.0.1:0") }
+
+// newStandInAt opens a stand-in at an address.
+func newStandInAt(t *testing.T, name, addr string) *standIn {
+	ln, err := net.Listen("tcp", addr)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/trunk/link.go
+++ b/internal/trunk/link.go
@@ -89,6 +89,7 @@
 	probe         bool           // the detector asks for a probe
 	renew         bool           // the current connection is to be replaced
 	renewNext     bool           // the next connection that comes up is to be replaced after renewalDelay
+	lastBreak     time.Time      // when a session last ended that was not replaced; zero: never
 	lastDial      struct {
 		at  time.Time
 		err error
@@ -505,8 +506,12 @@
 		l.recordUndelivered(releases) // what was written may still be on its way
 	}
 	if !s.replaced {
+		l.lastBreak = time.Now()
 		l.scheduleRenewal()
 	}
+	if l.removed && !l.closed && l.current == nil {
+		defer l.handler.CallsEnded(core.EndRemoved, time.Now()) // nothing more will arrive
+	}
 	switch reset := errors.Is(err, syscall.ECONNRESET); {
 	case reset && s.resetIsEvidence:
 		l.apply(l.detector.ReplacedConnectionReset(time.Now()), err, s.replacedAt)
@@ -666,6 +671,13 @@
 	l.wakeMaintain()
 }
 
+// LastBreak implements core.Link.
+func (l *Link) LastBreak() time.Time {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.lastBreak
+}
+
 // Close ends the link and waits for its goroutines.
 func (l *Link) Close() {
 	l.cancel()
