Call API: read a switch's replaced connection on for what it had sent

Cause: trunk reads a replaced connection on if its writing side can be closed alone; the call API's could not, and was closed with what was on its way.

Change: CloseWrite of the call API's connection leaves it open, and nothing more is written to it.

--- a/internal/callapi/switchconn.go
+++ b/internal/callapi/switchconn.go
@@ -128,6 +128,10 @@
 // Ping sends a WebSocket ping and waits for the pong, which Read must receive.
 func (s *switchConn) Ping(ctx context.Context) error { return s.conn.Ping(ctx) }
 
+// CloseWrite implements trunk.HalfCloser. WebSocket has no half-closed state: the connection stays open,
+// so that what the switch sends on it is still read, and nothing more is written to it.
+func (s *switchConn) CloseWrite() error { return nil }
+
 // Close closes the connection without a close handshake.
 func (s *switchConn) Close() error {
 	s.cancel()
--- a/internal/proxy/replaced_test.go
+++ b/internal/proxy/replaced_test.go
@@ -77,3 +77,35 @@
 		s.t.Fatalf("got %d %s", status, got)
 	}
 }
+
+// Guards against an end that is lost because the switch of the call API sent it on a connection that was
+// silent for a while, and that was replaced meanwhile.
+func TestEndOnAReplacedSilentConnectionIsReceived(t *testing.T) {
+	t.Parallel()
+	s := start(t, "\nx1", strings.ReplaceAll(settingsJSON, `"goalTimeMs":8000`, `"goalTimeMs":400`))
+	s.play(`
+		w1> {"type":"setup","call":"a","class":"space-check","number":"1","dest":1,"wait_ms":9000}
+		x1< {"type":"setup","call":"{a}","class":"space-check","number":"1","dest":1,"width":1,"wait_ms":0}
+		x1> {"type":"answer","call":"{a}","description":"d"}
+		w1< {"type":"answer","call":"a","description":"d"}
+		w1> {"type":"setup","call":"b","class":"space-check","number":"1","dest":1,"wait_ms":300}
+		x1< {"type":"setup","call":"{b}","class":"space-check","number":"1","dest":1,"width":1,"wait_ms":0}`)
+	ctx, cancel := context.WithTimeout(t.Context(), testTimeout)
+	defer cancel()
+	select {
+	case <-s.switches["x1"].sockets: // the silent connection is replaced
+	case <-ctx.Done():
+		t.Fatal("the silent connection was not replaced")
+	}
+	time.Sleep(100 * time.Millisecond)
+	s.play(`x1> {"type":"released","call":"{a}","reason":"ended"}`)
+	for {
+		_, b, err := s.clients["w1"].Read(ctx)
+		if err != nil {
+			t.Fatalf("no end of call a: %v", err)
+		}
+		if strings.Contains(string(b), `"released"`) {
+			return
+		}
+	}
+}
