--- a/internal/proxy/departed_test.go
+++ b/internal/proxy/departed_test.go
@@ -1,7 +1,6 @@
 package proxy
 
 import (
-	"bufio"
 	"context"
 	"net"
 	"sync"
@@ -30,23 +29,11 @@
 // runSilentSwitch runs a switch that answers nothing and records the set-ups it receives.
 func runSilentSwitch(sw *standIn) *setUpLog {
 	log := &setUpLog{count: map[uint64]int{}}
-	go func() {
-		for c := range sw.conns {
-			go func() {
-				defer c.Close()
-				in := bufio.NewReader(c)
-				for {
-					m, err := sig.Read(in)
-					if err != nil {
-						return
-					}
-					if m.Type == sig.SetUp {
-						log.add(m.Call)
-					}
-				}
-			}()
+	go serveSwitch(sw, func(_ net.Conn, m sig.Message) {
+		if m.Type == sig.SetUp {
+			log.add(m.Call)
 		}
-	}()
+	})
 	return log
 }
 
--- a/internal/proxy/flood_test.go
+++ b/internal/proxy/flood_test.go
@@ -18,10 +18,8 @@
 // messageCost is how long the stand-in's processor works on a message.
 const messageCost = 2 * time.Millisecond
 
-// runBusySwitch runs a switch whose processor works on one message after the other, and answers every
-// set-up. It counts the set-ups.
-func runBusySwitch(sw *standIn, setUps *atomic.Int64) {
-	var processor sync.Mutex
+// serveSwitch passes the messages that a binary switch receives to a function, each connection's in order.
+func serveSwitch(sw *standIn, handle func(c net.Conn, m sig.Message)) {
 	for c := range sw.conns {
 		go func() {
 			defer c.Close()
@@ -31,18 +29,27 @@
 				if err != nil {
 					return
 				}
-				processor.Lock()
-				time.Sleep(messageCost)
-				processor.Unlock()
-				if m.Type == sig.SetUp {
-					setUps.Add(1)
-					writeMessage(c, sig.Message{Type: sig.Answer, Call: m.Call, Params: []sig.Param{{Code: sig.ParamDescription, Value: []byte("d")}}})
-				}
+				handle(c, m)
 			}
 		}()
 	}
 }
 
+// runBusySwitch runs a switch whose processor works on one message after the other, and answers every
+// set-up. It counts the set-ups.
+func runBusySwitch(sw *standIn, setUps *atomic.Int64) {
+	var processor sync.Mutex
+	serveSwitch(sw, func(c net.Conn, m sig.Message) {
+		processor.Lock()
+		time.Sleep(messageCost)
+		processor.Unlock()
+		if m.Type == sig.SetUp {
+			setUps.Add(1)
+			_ = writeMessage(c, sig.Message{Type: sig.Answer, Call: m.Call, Params: []sig.Param{{Code: sig.ParamDescription, Value: []byte("d")}}})
+		}
+	})
+}
+
 func writeMessage(c net.Conn, m sig.Message) error {
 	b, err := m.Append(nil)
 	if err != nil {
