Call API: pending ends go to a tenant's other connections when one closes

Cause, by reading: ends for which a slow connection had no room waited for that connection or a new one, although the tenant had others. Change: when a connection closes, the others take what is pending. Result: the package's tests pass; there was no trace of a failure.

--- a/internal/callapi/server.go
+++ b/internal/callapi/server.go
@@ -228,6 +228,9 @@
 			c.announceEnd()
 		}
 	}
+	for other := range ts.sockets {
+		ts.queuePendingEnds(other) // those for which the closed one had no room
+	}
 	srv.dropIfEmpty(s.tenant)
 	srv.mu.Unlock()
 	for _, id := range abandoned {
