Planned restart: a connection that comes up is no message from a switch that hangs

Cause: the next process inherited the former's latest sign of life, but a connection to a hung switch, which the kernel accepts, replaced it.

Change: the time of the last message is handed over beside the latest sign of life, and holds until this process receives something.

Result: TestDecisions, 'a process that hung before the restart', declares the calls ended 7 s after the last message of the former process; before, 7 s after the restart.

--- a/decide/handover/handover.go
+++ b/decide/handover/handover.go
@@ -48,6 +48,7 @@
 	Call
 	switchID     string
 	lastEvidence time.Time
+	lastReceived time.Time
 	withdrawn    bool // it has ended; kept because an offer may arrive late
 	heldSince    time.Time
 }
@@ -174,7 +175,7 @@
 		if calls[call.ID] == nil {
 			news = true
 			n.heldCount++
-			calls[call.ID] = &heldCall{Call: call, switchID: m.Group.Switch, lastEvidence: m.Group.LastEvidence, heldSince: now}
+			calls[call.ID] = &heldCall{Call: call, switchID: m.Group.Switch, lastEvidence: m.Group.LastEvidence, lastReceived: m.Group.LastReceived, heldSince: now}
 		}
 	}
 	if claimedBy, claimed := n.claimedBy[m.Origin.Proxy]; news && claimed && claimedBy != m.Origin.Instance {
@@ -218,8 +219,8 @@
 // offerHeld offers the calls held for an origin to the candidates.
 func (n *Node) offerHeld(now time.Time, origin Origin, candidates []int) {
 	type groupKey struct {
-		switchID     string
-		lastEvidence time.Time
+		switchID                   string
+		lastEvidence, lastReceived time.Time
 	}
 	groups := map[groupKey][]Call{}
 	var keys []groupKey
@@ -228,7 +229,7 @@
 		if call.withdrawn {
 			continue
 		}
-		key := groupKey{call.switchID, call.lastEvidence}
+		key := groupKey{call.switchID, call.lastEvidence, call.lastReceived}
 		if groups[key] == nil {
 			keys = append(keys, key)
 		}
@@ -236,7 +237,7 @@
 	}
 	for _, key := range keys {
 		for chunk := range slices.Chunk(groups[key], MaxGroupCalls) {
-			group := Group{Switch: key.switchID, LastEvidence: key.lastEvidence, Calls: chunk}
+			group := Group{Switch: key.switchID, LastEvidence: key.lastEvidence, LastReceived: key.lastReceived, Calls: chunk}
 			offer := n.deliver(Message{Kind: Offer, Origin: origin, Group: group}, candidates, now)
 			offer.expires = now.Add(n.settings.Retention)
 		}
@@ -266,7 +267,7 @@
 			continue // it can't be encoded: the calls count as unacknowledged
 		}
 		for chunk := range slices.Chunk(added, MaxGroupCalls) {
-			part := Group{Switch: group.Switch, LastEvidence: group.LastEvidence, Calls: chunk}
+			part := Group{Switch: group.Switch, LastEvidence: group.LastEvidence, LastReceived: group.LastReceived, Calls: chunk}
 			offer := n.deliver(Message{Kind: Offer, Origin: n.ownOrigin(), Group: part}, n.otherPeers(), now)
 			for _, call := range chunk {
 				n.offered[call.ID] = offer
--- a/decide/handover/message.go
+++ b/decide/handover/message.go
@@ -39,6 +39,7 @@
 type Group struct {
 	Switch       string    // the switch's id on the list
 	LastEvidence time.Time // the latest sign of life of the switch, as far as the origin knew
+	LastReceived time.Time // when the origin last received something from it
 	Calls        []Call
 }
 
--- a/decide/liveness/liveness.go
+++ b/decide/liveness/liveness.go
@@ -67,7 +67,8 @@
 	state             State
 	lastEvidence      time.Time
 	hasEvidence       bool // lastEvidence is this detector's own
-	inherited         time.Time
+	hasReceived       bool // lastReceived is this detector's own
+	inherited         Evidence
 	lastReceived      time.Time // when something was last received
 	silentConnections int       // connections on which set-ups were sent and nothing was received since
 	failedProbes      int       // probes that failed since the last evidence
@@ -91,17 +92,25 @@
 	return &Detector{settings: settings, lastEvidence: now, lastReceived: now}
 }
 
-// InheritEvidence sets the time of the latest evidence of life that a former process had. It applies
-// until this detector has evidence of its own: its creation is none.
-func (d *Detector) InheritEvidence(at time.Time) {
-	if d.hasEvidence || !at.After(d.inherited) {
-		return
+// Evidence is what a process knows of the life of a peer.
+type Evidence struct {
+	LastEvidence time.Time // the latest sign of life, such as a connection that came up
+	LastReceived time.Time // when something was last received
+}
+
+// InheritEvidence sets the evidence that a former process had. It applies until this detector has its own:
+// its creation is none, and a connection that came up is no message.
+func (d *Detector) InheritEvidence(e Evidence) {
+	if !d.hasEvidence && e.LastEvidence.After(d.inherited.LastEvidence) {
+		d.inherited.LastEvidence, d.lastEvidence = e.LastEvidence, e.LastEvidence
+	}
+	if !d.hasReceived && e.LastReceived.After(d.inherited.LastReceived) {
+		d.inherited.LastReceived, d.lastReceived = e.LastReceived, e.LastReceived
 	}
-	d.inherited, d.lastEvidence, d.lastReceived = at, at, at
 }
 
-// LastEvidence returns the time of the latest evidence of life.
-func (d *Detector) LastEvidence() time.Time { return d.lastEvidence }
+// Evidence returns the latest evidence.
+func (d *Detector) Evidence() Evidence { return Evidence{d.lastEvidence, d.lastReceived} }
 
 // Decision is what follows from the evidence at a given time.
 type Decision struct {
@@ -126,6 +135,7 @@
 func (d *Detector) Received(now time.Time) (recovered bool) {
 	recovered = d.silentConnections+d.failedProbes > 0
 	d.lastReceived, d.silentConnections = now, 0
+	d.hasReceived = true
 	d.markAlive(now)
 	return recovered
 }
--- a/decide/liveness/liveness_test.go
+++ b/decide/liveness/liveness_test.go
@@ -25,7 +25,7 @@
 	oneCall := func(d *Detector, _ time.Time) { d.SetEstablished(1) }
 	noCall := func(d *Detector, _ time.Time) { d.SetEstablished(0) }
 	probeEarly := func(d *Detector, now time.Time) { d.ProbeEarlyUntil(now.Add(10 * time.Second)) }
-	inherit := func(d *Detector, _ time.Time) { d.InheritEvidence(at(-3)) }
+	inherit := func(d *Detector, _ time.Time) { d.InheritEvidence(Evidence{at(-3), at(-3)}) }
 	for name, steps := range map[string][]step{
 		"calls of a former process, whose last evidence is 3 s older": {
 			{0, inherit, Decision{State: Alive}},
@@ -34,10 +34,18 @@
 			{4, probeFailed, Decision{State: Unreachable, CallsEnded: true}},
 		},
 		"own evidence is later than what a former process had": {
-			{0, connected, Decision{State: Alive}},
+			{0, received, Decision{State: Alive}},
 			{1, inherit, Decision{State: Alive}},
 			{1, oneCall, Decision{State: Alive, NextCheck: at(4.5)}},
 		},
+		"a process that hung before the restart: its connections are no messages": {
+			{0, connected, Decision{State: Alive}},
+			{0, inherit, Decision{State: Alive}},
+			{0, oneCall, Decision{State: Alive, NextCheck: at(4)}},
+			{1, silent, Decision{State: Alive, NextCheck: at(4)}},
+			{3, silent, Decision{State: Alive, NextCheck: at(4)}},
+			{4, nothing, Decision{State: Unreachable, CallsEnded: true}},
+		},
 		"no established call": {
 			{100, probeFailed, Decision{State: Alive}},
 		},
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -84,12 +84,11 @@
 	CancelSetUp(id uint64)
 	// Release ends an established call.
 	Release(id uint64)
-	// TakeOver records a call that was established at the switch through a former process, which
-	// had the latest sign of life of the switch at lastEvidence. It must not be called with the
-	// core's lock held.
-	TakeOver(id uint64, establishedAt, lastEvidence time.Time)
-	// LastEvidence returns the time of the latest sign of life of the switch.
-	LastEvidence() time.Time
+	// TakeOver records a call that was established at the switch through a former process, with what
+	// that knew of the life of the switch. It must not be called with the core's lock held.
+	TakeOver(id uint64, establishedAt time.Time, evidence Evidence)
+	// Evidence returns what is known of the life of the switch.
+	Evidence() Evidence
 	// ProbeEarlyUntil shortens the silence after which the link probes the switch, until
 	// the given time.
 	ProbeEarlyUntil(until time.Time)
@@ -109,6 +108,12 @@
 	Close()
 }
 
+// Evidence is what a process knows of the life of a switch.
+type Evidence struct {
+	LastEvidence time.Time // the latest sign of life, such as a connection that came up
+	LastReceived time.Time // when something was last received
+}
+
 // Errors returned by Link.SetUp.
 var (
 	ErrNotReached = errors.New("switch not reached")
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -52,8 +52,8 @@
 func (link fakeLink) ProbeEarlyUntil(time.Time) {}
 func (link fakeLink) ProbeFailing() bool        { return link.network.failingSwitch == link.id }
 func (link fakeLink) LastBreak() time.Time      { return time.Time{} }
-func (link fakeLink) LastEvidence() time.Time   { return time.Time{} }
-func (link fakeLink) TakeOver(uint64, time.Time, time.Time) {
+func (link fakeLink) Evidence() Evidence        { return Evidence{} }
+func (link fakeLink) TakeOver(uint64, time.Time, Evidence) {
 	link.network.toSwitches <- link.id + " taken over"
 }
 func (link fakeLink) StopDialing()     {}
--- a/internal/core/takeover.go
+++ b/internal/core/takeover.go
@@ -12,23 +12,23 @@
 	ID            uint64
 	SwitchID      string
 	EstablishedAt time.Time
-	LastEvidence  time.Time // the latest sign of life of the switch
+	Evidence      Evidence // of the life of the switch
 }
 
 // TransferableCalls returns the established calls that another process can take over.
 func (c *Core) TransferableCalls() []EstablishedCall {
-	evidence := map[*listedSwitch]time.Time{}
+	evidence := map[*listedSwitch]Evidence{}
 	for _, sw := range c.openSwitches() {
-		evidence[sw] = sw.link.LastEvidence()
+		evidence[sw] = sw.link.Evidence()
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	var transferable []EstablishedCall
 	for _, call := range c.calls {
 		sw := call.currentSwitch
-		lastEvidence, open := evidence[sw]
+		known, open := evidence[sw]
 		if call.Transferable && call.isEstablished() && open {
-			transferable = append(transferable, EstablishedCall{ID: call.ID, SwitchID: sw.ID, EstablishedAt: call.establishedAt, LastEvidence: lastEvidence})
+			transferable = append(transferable, EstablishedCall{ID: call.ID, SwitchID: sw.ID, EstablishedAt: call.establishedAt, Evidence: known})
 		}
 	}
 	return transferable
@@ -64,7 +64,7 @@
 	call.answered, call.finalAnswerGiven, call.establishedAt = true, true, established.EstablishedAt
 	c.calls[call.ID] = call
 	c.callGroup.Go(func() error {
-		c.serveTakenOver(call, established.LastEvidence)
+		c.serveTakenOver(call, established.Evidence)
 		return nil
 	})
 	return TakeOverDone
@@ -94,11 +94,11 @@
 )
 
 // serveTakenOver runs a call that a former process established. The controller does not know it.
-func (c *Core) serveTakenOver(call *callState, lastEvidence time.Time) {
+func (c *Core) serveTakenOver(call *callState, evidence Evidence) {
 	defer c.removeCall(call)
 	defer call.cancel()
 	link := call.lastSwitch.link
-	link.TakeOver(call.ID, call.establishedAt, lastEvidence)
+	link.TakeOver(call.ID, call.establishedAt, evidence)
 	c.superviseEstablished(call, link, func(Outcome) {
 		c.mu.Lock()
 		defer c.mu.Unlock()
--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -25,7 +25,8 @@
 	fieldCalls          protowire.Number = 8 // packed fixed64
 	// fieldEstablished has the times of the calls in the same order, relative to the last evidence:
 	// packed sint64.
-	fieldEstablished protowire.Number = 9
+	fieldEstablished  protowire.Number = 9
+	fieldLastReceived protowire.Number = 10
 )
 
 var (
@@ -60,6 +61,7 @@
 	b = protowire.AppendTag(b, fieldSwitch, protowire.BytesType)
 	b = protowire.AppendString(b, group.Switch)
 	b = appendVarint(b, fieldLastEvidence, uint64(base))
+	b = appendVarint(b, fieldLastReceived, uint64(group.LastReceived.UnixMilli()))
 	var ids []uint64
 	var times []byte
 	for _, call := range group.Calls {
@@ -149,7 +151,8 @@
 
 func decodeGroup(f fields, ids []uint64) (handover.Group, error) {
 	base := int64(f.numbers[fieldLastEvidence])
-	group := handover.Group{Switch: string(f.bytes[fieldSwitch]), LastEvidence: time.UnixMilli(base)}
+	group := handover.Group{Switch: string(f.bytes[fieldSwitch]), LastEvidence: time.UnixMilli(base),
+		LastReceived: time.UnixMilli(int64(f.numbers[fieldLastReceived]))}
 	times := f.bytes[fieldEstablished]
 	for _, id := range ids {
 		v, n := protowire.ConsumeVarint(times)
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -23,7 +23,7 @@
 // lost on the way: the largest messages there are.
 func TestLargestMessagesFitADatagram(t *testing.T) {
 	origin := handover.Origin{Proxy: 4095, Instance: math.MaxUint64}
-	group := handover.Group{Switch: strings.Repeat("s", handover.MaxSwitchIDBytes), LastEvidence: time.UnixMilli(1 << 41)}
+	group := handover.Group{Switch: strings.Repeat("s", handover.MaxSwitchIDBytes), LastEvidence: time.UnixMilli(1 << 41), LastReceived: time.UnixMilli(1 << 41)}
 	for i := range uint64(handover.MaxGroupCalls) {
 		group.Calls = append(group.Calls, handover.Call{ID: math.MaxUint64 - i, EstablishedAt: group.LastEvidence.Add(-time.Hour)})
 	}
@@ -107,7 +107,7 @@
 func TestCallsComeBackFromPeersOnly(t *testing.T) {
 	configs, taken := listenAll(t, 2)
 	stopping, stop := run(t, configs[0])
-	group := handover.Group{Switch: "s-1", LastEvidence: time.UnixMilli(1000), Calls: []handover.Call{{ID: 7, EstablishedAt: time.UnixMilli(900)}}}
+	group := handover.Group{Switch: "s-1", LastEvidence: time.UnixMilli(1000), LastReceived: time.UnixMilli(950), Calls: []handover.Call{{ID: 7, EstablishedAt: time.UnixMilli(900)}}}
 	stopping.Leave([]handover.Group{group})
 	stranger, err := net.Dial("udp", configs[0].Listen)
 	if err != nil {
--- a/internal/trunk/link.go
+++ b/internal/trunk/link.go
@@ -451,20 +451,20 @@
 }
 
 // TakeOver implements core.Link.
-func (l *Link) TakeOver(id uint64, establishedAt, lastEvidence time.Time) {
+func (l *Link) TakeOver(id uint64, establishedAt time.Time, evidence core.Evidence) {
 	l.mu.Lock()
-	l.detector.InheritEvidence(lastEvidence)
+	l.detector.InheritEvidence(liveness.Evidence(evidence))
 	l.setEstablished(id, true)
 	l.established[id] = establishedAt
 	now := time.Now()
 	l.apply(l.detector.Check(now), nil, now)
 }
 
-// LastEvidence implements core.Link.
-func (l *Link) LastEvidence() time.Time {
+// Evidence implements core.Link.
+func (l *Link) Evidence() core.Evidence {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.detector.LastEvidence()
+	return core.Evidence(l.detector.Evidence())
 }
 
 // answered passes an answer on. The call is recorded as established first, because it may
